--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,8 +17,6 @@
 const LOOK: u64 = u64::MAX - 1;
 /// The longest first wait before discovery is asked again; it doubles with each failure.
 const ASK_AGAIN: Micros = 1_000_000;
-/// How long a server is avoided for each of its recent failures.
-const RETREAT: f64 = 100_000.0;
 /// The limit a server starts with, for the attempts of all nodes together; it never falls below this.
 const LIMIT_START: f64 = 2.0;
 /// Nor does it fall below this multiple of what served in-share work needs on idle servers.
@@ -153,7 +151,7 @@
         for entry in list {
             let largest = self.kind_sizes.entry(entry.kind).or_insert(entry.weight);
             *largest = largest.max(entry.weight);
-            let fresh = Server { entry, pace: 1.0, ..Server::default() };
+            let fresh = Server::new(entry, self.settings.classes.len());
             match self.find(entry.id) {
                 Err(i) => self.servers.insert(i, fresh),
                 Ok(i) if self.servers[i].entry.ready_at == entry.ready_at => self.servers[i].entry = entry,
@@ -294,11 +292,9 @@
         for pool in 0..self.held.len() {
             let mut blocked: Vec<Ask> = Vec::new();
             // A few that their classes tie to full servers must not stop the others.
-            while blocked.len() < 3 && !self.held[pool].is_empty() && self.lender(pool, 1.0).is_some() {
-                let at = self.best_held(pool);
+            while let Some(at) = self.best_held(pool, &blocked) {
                 let ask = self.held[pool][at];
-                let part = if ask.in_share { 1.0 } else { SPARE };
-                let Some(from) = self.lender(pool, part) else { break };
+                let Some(from) = self.lender(pool, if ask.in_share { 1.0 } else { SPARE }) else { break };
                 self.held[pool].swap_remove(at);
                 match self.pick(ask.id, from) {
                     Some(server) => self.send(ask.id, server),
@@ -320,10 +316,12 @@
         if self.has_room(pool, part) { Some(pool) } else { others.find(lends) }
     }
 
-    /// Where the request with most merit is held; of several, the one whose aim is nearest.
-    fn best_held(&self, pool: usize) -> usize {
-        let held = self.held[pool].iter().enumerate().map(|(at, ask)| (self.merit(ask), ask.aim_at, at));
-        held.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map_or(0, |best| best.2)
+    /// Where the request with most merit is held that may not be blocked too; of several, the nearest aim's.
+    fn best_held(&self, pool: usize, blocked: &[Ask]) -> Option<usize> {
+        let free = |ask: &Ask| blocked.iter().filter(|b| b.class == ask.class).count() < 3;
+        let rank = |(at, ask): (usize, &Ask)| free(ask).then(|| (self.merit(ask), ask.aim_at, at));
+        let held = self.held[pool].iter().enumerate().filter_map(rank);
+        held.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map(|best| best.2)
     }
 
     /// The part of its capacity that a starting server surely has.
@@ -362,23 +360,28 @@
     /// The less loaded of two random members that have room.
     fn pick(&mut self, id: RequestId, pool: usize) -> Option<usize> {
         let chance = self.random.u64(..);
-        let job = &self.jobs[&id];
-        let members = self.members(pool);
-        let bears = (self.settings.fall_multiple / 2.0).max(1.0);
-        let avoided = |i: &&usize| self.servers[**i].avoid_until > self.now;
-        let heed = members.iter().filter(avoided).count() * 2 <= members.len();
+        let (now, job) = (self.now, &self.jobs[&id]);
+        // A pool whose members all err on such requests is empty for them; if all servers do, none is worse.
+        let errs = |i: &usize| self.servers[*i].errs(job.ask.class, now);
+        let alike = self.ready.iter().all(errs);
+        let own = self.members(pool);
+        let members = if alike || !own.iter().all(errs) { own } else { &self.ready };
+        let heed = members.iter().filter(|i| self.servers[**i].avoided(now)).count() * 2 <= members.len();
         let fit = |i: &usize| {
             let s = &self.servers[*i];
-            let reach = self.ramp(&s.entry) * bears;
+            let reach = self.ramp(&s.entry) * (self.settings.fall_multiple / 2.0).max(1.0);
             (s.in_flight == 0 || f64::from(s.in_flight) < self.room(*i).ceil())
                 // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
                 // from each node, or all that its neighbours cannot take, would push it over.
                 && (reach >= 1.0 || unit(hash(id, s.entry.id)) <= reach)
-                && !(heed && s.avoid_until > self.now)
+                && !(heed && s.avoided(now))
                 && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
                 && self.allowed(job, &s.entry)
         };
         let mut fits: Vec<usize> = members.iter().copied().filter(fit).collect();
+        // A repeat may be tied to servers that all err.
+        let tied = alike || !job.attempts.is_empty() && fits.iter().all(errs);
+        fits.retain(|i| tied || !errs(i));
         // Where crossing zones has a price, work stays in the own zone while the node sees room there.
         let home = |i: &usize| self.servers[*i].entry.zone == self.settings.zone;
         if self.settings.cross_zone_price > 0.0 && self.blindness() == 0.0 && fits.iter().any(home) {
@@ -390,12 +393,13 @@
         let by = job.key.filter(|_| self.settings.warm_keys).unwrap_or(chance);
         let late = |i: usize| {
             let s = &self.servers[i];
-            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now) / s.share
+            -unit(hash(by, s.entry.id)).ln() * s.pace_at(now) / s.share
         };
         let mut fits: Vec<(f64, usize)> = fits.into_iter().map(|i| (late(i), i)).collect();
         let second = 1.min(fits.len().checked_sub(1)?);
         fits.select_nth_unstable_by(second, |a, b| a.0.total_cmp(&b.0));
-        fits.into_iter().take(2).map(|fit| fit.1).min_by(|a, b| self.load(*a).total_cmp(&self.load(*b)))
+        let load = |fit: (f64, usize)| (self.load(fit.1, job.ask.class), fit.1);
+        fits.into_iter().take(2).map(load).min_by(|a, b| a.0.total_cmp(&b.0)).map(|least| least.1)
     }
 
     /// A live weight is late and the same at all nodes: all would crowd what was idle a while ago.
@@ -416,9 +420,9 @@
     /// Own requests in flight against what the server carries. Recent failures count as load: a server
     /// that errs quickly holds little and would win every comparison. The request to be sent counts where a
     /// node sees its servers; where all counts are 0, it would send nearly all to the largest.
-    fn load(&self, i: usize) -> f64 {
+    fn load(&self, i: usize, class: usize) -> f64 {
         let (s, own) = (&self.servers[i], f64::from(u8::from(self.blindness() == 0.0)));
-        (f64::from(s.in_flight) + own + s.excess(self.now)) / self.room(i)
+        (f64::from(s.in_flight) + own + s.excess(class, self.now)) / self.room(i)
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
@@ -536,13 +540,10 @@
                 / self.ready.len().max(1) as f64;
             self.limit = (self.limit * factor).max(LIMIT_LEAST * needed).max(LIMIT_START);
         } else if !matches!(end.outcome, Outcome::Cancelled | Outcome::NotSent) {
-            // One that fails again and again is left alone for longer each time, then tried anew.
-            server.failures.add(self.now, 1.0);
-            let pool = self.pools.iter().find(|pool| pool.contains(&i)).unwrap_or(&self.ready);
-            let usual = Fading::mean(pool.iter().map(|i| self.servers[*i].failures), self.now);
-            pool.iter().for_each(|i| self.servers[*i].usual_failures = usual);
-            let excess = self.servers[i].excess(self.now);
-            self.servers[i].avoid_until = self.now + (excess * RETREAT) as Micros;
+            // An error may be about its class alone, and tells of the server if any other serves that class.
+            let error_of = (end.outcome == Outcome::Error).then_some(class);
+            let alike = self.pools.iter().find(|pool| error_of.is_none() && pool.contains(&i));
+            count_failure(&mut self.servers, i, alike.unwrap_or(&self.ready), error_of, self.now);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,12 +37,6 @@
         *self = Fading { value: self.now(now) + amount, at: now, since };
     }
 
-    /// The mean of several.
-    pub(crate) fn mean(of: impl ExactSizeIterator<Item = Fading>, now: Micros) -> Fading {
-        let many = of.len().max(1) as f64;
-        Fading { value: of.map(|f| f.now(now)).sum::<f64>() / many, at: now, since: now }
-    }
-
     /// How much is added per microsecond; what is younger than its memory has not been added up in full.
     pub(crate) fn rate(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.since).max(RATE_FROM) as f64;
@@ -50,6 +44,35 @@
     }
 }
 
+/// How long a server is avoided for each of its recent failures.
+const RETREAT: f64 = 100_000.0;
+
+/// Failures of one kind at a server.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Failures {
+    pub(crate) lately: Fading,
+    /// How many befall other servers too.
+    pub(crate) usual: Fading,
+    pub(crate) avoid_until: Micros,
+}
+
+impl Failures {
+    /// Recent failures beyond the usual: what befalls all alike tells nothing of one.
+    pub(crate) fn excess(&self, now: Micros) -> f64 {
+        (self.lately.now(now) - self.usual.now(now)).max(0.0)
+    }
+
+    /// Whether the server is left alone for them.
+    pub(crate) fn avoid(&self, now: Micros) -> bool {
+        self.avoid_until > now
+    }
+
+    /// One that fails again and again is left alone for longer each time, then tried anew.
+    pub(crate) fn retreat(&mut self, now: Micros) {
+        self.avoid_until = now + (self.excess(now) * RETREAT) as Micros;
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Server {
     pub(crate) entry: ServerEntry,
@@ -57,24 +80,66 @@
     pub(crate) size: f64,
     pub(crate) in_flight: u32,
     pub(crate) pace: f64,
-    pub(crate) failures: Fading,
-    /// The mean of those in its pool.
-    pub(crate) usual_failures: Fading,
-    pub(crate) avoid_until: Micros,
+    /// Attempts that came to nothing, whatever they were for; the usual is the mean of those in its pool.
+    pub(crate) failures: Failures,
+    /// Errors by class: a server that errs on one serves the others well. The usual is what a
+    /// quarter of all servers stay under.
+    pub(crate) errors: Vec<Failures>,
     pub(crate) last_sent: Micros,
 }
 
 impl Server {
+    /// One of which nothing is known but its entry.
+    pub(crate) fn new(entry: ServerEntry, classes: usize) -> Server {
+        Server { entry, pace: 1.0, errors: vec![Failures::default(); classes], ..Server::default() }
+    }
+
     /// How slow it is; one that has not been tried for long gets a trial.
     pub(crate) fn pace_at(&self, now: Micros) -> f64 {
         let fresh = (now.saturating_sub(self.last_sent) as f64) < MEMORY;
         if fresh { self.pace } else { 1.0 }
     }
 
-    /// Recent failures beyond the usual in its pool: what befalls all alike tells nothing of one.
-    pub(crate) fn excess(&self, now: Micros) -> f64 {
-        (self.failures.now(now) - self.usual_failures.now(now)).max(0.0)
+    fn failed(&mut self, error_of: Option<usize>) -> &mut Failures {
+        error_of.map_or(&mut self.failures, |class| &mut self.errors[class])
+    }
+
+    /// Recent failures that a request of this class has to fear.
+    pub(crate) fn excess(&self, class: usize, now: Micros) -> f64 {
+        self.failures.excess(now) + self.errors[class].excess(now)
     }
+
+    /// Whether it is left alone for all classes.
+    pub(crate) fn avoided(&self, now: Micros) -> bool {
+        self.failures.avoid(now)
+    }
+
+    /// Whether it is left alone for its errors on this class.
+    pub(crate) fn errs(&self, class: usize, now: Micros) -> bool {
+        self.errors[class].avoid(now)
+    }
+}
+
+/// Counts a failure of server `i`, an error of a class or one of another kind, and what of it is usual among
+/// these servers. Errors of a class are not, where a quarter of the servers show fewer.
+pub(crate) fn count_failure(
+    servers: &mut [Server],
+    i: usize,
+    among: &[usize],
+    error_of: Option<usize>,
+    now: Micros,
+) {
+    servers[i].failed(error_of).lately.add(now, 1.0);
+    let mut lately: Vec<f64> = among.iter().map(|i| servers[*i].failed(error_of).lately.now(now)).collect();
+    lately.sort_by(f64::total_cmp);
+    let usual = match error_of {
+        Some(_) => lately.get(lately.len() / 4).copied().unwrap_or(0.0),
+        None => lately.iter().sum::<f64>() / lately.len().max(1) as f64,
+    };
+    among
+        .iter()
+        .for_each(|i| servers[*i].failed(error_of).usual = Fading { value: usual, at: now, since: now });
+    servers[i].failed(error_of).retreat(now);
 }
 
 #[derive(Clone, Copy, PartialEq)]
