Draw from the whole pool: no zone is filled before the others

The module sent all work to servers of its own zone until their room was full, for a price of 0.01 a crossing, so near servers queued while others idled.

--- a/src/api.rs
+++ b/src/api.rs
@@ -85,8 +85,6 @@
     pub balancers: u32,
     /// This node's number among them, from 0.
     pub rank: u32,
-    /// The zone this node is in.
-    pub zone: u8,
     /// The classes of requests; at least one.
     pub classes: Vec<Class>,
     /// The tenants; may be empty.
@@ -101,8 +99,6 @@
     pub second_copies: bool,
     /// Whether related requests are cheaper on a server that met their key lately.
     pub warm_keys: bool,
-    /// What crossing zones costs, for every request once, as a part of all worth.
-    pub cross_zone_price: f64,
     /// Whether weights shrink while a server holds requests, and so tell of load as well as of size.
     pub live_weights: bool,
     /// How the server list comes.
@@ -137,7 +133,6 @@
         Settings {
             balancers: 1,
             rank: 0,
-            zone: 0,
             classes: Vec::new(),
             tenants: Vec::new(),
             over_share_worth: 1.0,
@@ -145,7 +140,6 @@
             cancelling: false,
             second_copies: false,
             warm_keys: false,
-            cross_zone_price: 0.0,
             live_weights: false,
             discovery: Discovery::Pushed,
             cold_from: 0.1,
@@ -168,7 +162,7 @@
             (self.max_attempts > 0, "no attempt is allowed"),
             (self.cold_from > 0.0 && self.cold_from <= 1.0, "cold_from is not within 0 to 1"),
             (positive(self.fall_multiple), "the fall multiple is negative"),
-            (positive(self.over_share_worth) && positive(self.cross_zone_price), "a price is negative"),
+            (positive(self.over_share_worth), "a price is negative"),
             (
                 self.tenants.iter().all(|t| positive(t.quota_per_s) && positive(t.share)),
                 "a tenant's quota or share is negative",
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -382,11 +382,6 @@
         // A repeat may be tied to servers that all err.
         let tied = alike || !job.attempts.is_empty() && fits.iter().all(errs);
         fits.retain(|i| tied || !errs(i));
-        // Where crossing zones has a price, work stays in the own zone while the node sees room there.
-        let home = |i: &usize| self.servers[*i].entry.zone == self.settings.zone;
-        if self.settings.cross_zone_price > 0.0 && self.blindness() == 0.0 && fits.iter().any(home) {
-            fits.retain(home);
-        }
         // Each is as likely as it has capacity: most nodes hold nothing at either of the two, and comparing
         // sizes alone would send nearly all to the largest. Where servers are warm for keys they met, the
         // key draws in place of chance.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -310,7 +310,6 @@
     Ok(Settings {
         balancers: s.get("balancers", d.balancers)?,
         rank: s.get("rank", d.rank)?,
-        zone: s.get("zone", d.zone)?,
         classes,
         tenants,
         over_share_worth: s.get("over_share_worth", d.over_share_worth)?,
@@ -318,7 +317,6 @@
         cancelling: s.flag("allowed.cancelling", d.cancelling)?,
         second_copies: s.flag("allowed.second_copies", d.second_copies)?,
         warm_keys: s.flag("domain.warm_keys", d.warm_keys)?,
-        cross_zone_price: s.get("prices.cross_zone", d.cross_zone_price)?,
         live_weights: s.get("weights", String::new())? == "live",
         discovery,
         cold_from: s.get("obligations.cold_from", d.cold_from)?,
