Learn after which idle time connections break, instead of shunning all kept ones

Shunning kept ones for 10 s after each break put every print order on a new connection: 2 handshakes for 5 requests, and no safer. Now a kept connection is used while requests after such an idle time break no more often than on new ones; older ones are retired. Ruled out: crowded servers (resets alike at 3 and 9 open), size, class, age of connection.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod servers;
 mod socket;
+mod trust;
 
 use std::error::Error;
 use std::net::SocketAddr;
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -26,6 +26,7 @@
 
 use crate::config::Config;
 use crate::socket::{Line, Place, ServerSocket};
+use crate::trust::Trust;
 
 /// The most that a body may hold, in either direction.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -43,8 +44,6 @@
 const REST: Duration = Duration::from_millis(5);
 /// An answer that has begun to come is whole after this, or will never be.
 const WHOLE_WITHIN: Duration = Duration::from_millis(300);
-/// For how long kept connections are not trusted with what must not run twice, after one broke.
-const WARY: Duration = Duration::from_secs(10);
 /// The most hints (1xx) ahead of an answer.
 const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
@@ -130,8 +129,7 @@
     most: usize,
     connect_timeout: Duration,
     idle_most: Duration,
-    /// Until when kept connections are known to break at their next request.
-    wary_until: Cell<Option<Instant>>,
+    trust: Trust,
 }
 
 impl Servers {
@@ -142,14 +140,13 @@
             most: config.sockets / 3,
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
             idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
-            wary_until: Cell::new(None),
+            trust: Trust::new(),
         }
     }
 
-    /// Whether this request should have a new connection: one that breaks under a request leaves open
-    /// whether it ran, and this one could then neither go again nor be refused.
-    fn wary(&self, outgoing: &Outgoing) -> bool {
-        outgoing.once && self.wary_until.get().is_some_and(|until| until > Instant::now())
+    /// For how long an idle connection is kept.
+    fn idle_most(&self) -> Duration {
+        self.idle_most.min(self.trust.idle_most(false))
     }
 
     /// How many connections to servers there may be.
@@ -188,13 +185,19 @@
         self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))
     }
 
-    /// The freshest idle connection that has rested and is quiet; older ones are retired in time.
-    fn take_idle(&self, server: ServerId) -> Option<Connection> {
+    /// The freshest idle connection that has rested and is quiet; older ones are retired in time. One that
+    /// breaks under a request leaves open whether it ran: what must not run twice could then neither go again
+    /// nor be refused, and rather has a new one.
+    fn take_idle(&self, server: ServerId, once: bool) -> Option<Connection> {
+        let (idle_most, trusted) = (self.idle_most(), self.trust.idle_most(once));
         let mut members = self.members.borrow_mut();
         let idle = &mut members.get_mut(&server)?.idle;
         while let Some(at) = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST) {
+            if once && idle[at].idle_since.elapsed() >= trusted {
+                return None;
+            }
             let connection = idle.remove(at);
-            let fresh = connection.idle_since.elapsed() < self.idle_most;
+            let fresh = connection.idle_since.elapsed() < idle_most;
             // What has come since would be read as the next request's answer.
             if fresh && connection.sender.is_ready() && connection.line.is_quiet() {
                 return Some(connection);
@@ -250,7 +253,8 @@
     pub async fn sweep(&self) {
         loop {
             sleep(SWEEP).await;
-            let fits = |c: &Connection| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed();
+            let idle_most = self.idle_most();
+            let fits = |c: &Connection| c.idle_since.elapsed() < idle_most && !c.sender.is_closed();
             self.members.borrow_mut().values_mut().for_each(|m| m.idle.retain(fits));
         }
     }
@@ -303,13 +307,15 @@
         begun: &Cell<bool>,
     ) -> (Outcome, Option<Response<Bytes>>) {
         loop {
-            let kept = if self.wary(outgoing) { None } else { self.take_idle(server) };
-            let (mut connection, fresh) = match kept {
-                Some(connection) => (connection, false),
+            let (mut connection, idle) = match self.take_idle(server, outgoing.once) {
+                Some(connection) => {
+                    let idle = connection.idle_since.elapsed();
+                    (connection, Some(idle))
+                }
                 None => {
                     let Some(there) = self.whereabouts(server) else { return (Outcome::NotSent, None) };
                     match self.connect(there).await {
-                        Ok(connection) => (connection, true),
+                        Ok(connection) => (connection, None),
                         Err(outcome) => return (outcome, None),
                     }
                 }
@@ -340,10 +346,11 @@
             let response = match answered {
                 Ok(response) => {
                     self.heard(server);
+                    self.trust.learn(idle, false);
                     response
                 }
                 // Nothing of it has left: an idle connection that was closing. A new one is no second copy.
-                Err(_) if written == 0 && !fresh => {
+                Err(_) if written == 0 && idle.is_some() => {
                     begun.set(false);
                     continue;
                 }
@@ -351,8 +358,8 @@
                 Err(_) if written < whole => return (Outcome::ConnectFailed, None),
                 Err(error) => {
                     // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
-                    if !fresh && !error.is_parse() {
-                        self.wary_until.set(Some(Instant::now() + WARY));
+                    if !error.is_parse() {
+                        self.trust.learn(idle, true);
                     }
                     return (Outcome::Reset, None);
                 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,7 +2,7 @@
 
 mod peers;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -439,6 +439,35 @@
     assert_eq!(lost, 1, "the first that broke tells of the others");
 }
 
+/// As behind a box that forgets a connection after a while, and says so at its next request.
+#[test]
+fn connections_that_break_after_a_rest_are_used_until_then() {
+    let forgets = Duration::from_millis(500);
+    let last = std::sync::Mutex::new(HashMap::new());
+    let server = Server::on(move |connection, _| {
+        let before: Option<Instant> = last.lock().unwrap().insert(connection, Instant::now());
+        match before.is_some_and(|at| at.elapsed() > forgets) {
+            true => Act::SayAndClose(Vec::new()),
+            false => ok("paid"),
+        }
+    });
+    let node = Node::new(&[ready("a", &server)]);
+    let mut client = node.client();
+    assert_eq!(client.ask(&order()).status(), 200);
+    std::thread::sleep(2 * forgets);
+    assert_eq!(client.ask(&order()).status(), 502, "it may have run");
+    assert_eq!((server.request().0, server.request().0), (0, 0));
+    // Those that went on soon show that a short rest does no harm, also to what must not run twice.
+    let mut turn = |bytes: Vec<u8>| {
+        client.ask(&bytes);
+        std::thread::sleep(Duration::from_millis(20));
+        server.request().0
+    };
+    assert!((0..40).any(|_| turn(view()) == turn(order())), "orders go on kept connections again");
+    std::thread::sleep(4 * forgets);
+    assert_eq!(client.ask(&order()).status(), 200, "but not on those that have rested for long");
+}
+
 #[test]
 fn a_watch_that_ends_or_speaks_garbage_is_begun_anew_from_where_it_was() {
     let server = Server::new(|_, _| ok("slip"));
