--- a/src/api.rs
+++ b/src/api.rs
@@ -89,8 +89,6 @@
     pub classes: Vec<Class>,
     /// The tenants; may be empty.
     pub tenants: Vec<Tenant>,
-    /// Whether a request's worth is its class's for each unit of its work, and not for the whole.
-    pub worth_by_work: bool,
     /// What a request beyond its tenant's share is worth, as a part of its class's worth.
     pub over_share_worth: f64,
     /// The most attempts one request may have.
@@ -137,7 +135,6 @@
             rank: 0,
             classes: Vec::new(),
             tenants: Vec::new(),
-            worth_by_work: false,
             over_share_worth: 1.0,
             max_attempts: 1,
             cancelling: false,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -279,14 +279,12 @@
         self.now as f64 + TIMELY * self.times[ask.class].usual > ask.aim_at as f64
     }
 
-    /// What answering a held request now would earn for the work it takes. Where worth is counted by work, a
-    /// long request is worth more by as much as it takes longer.
+    /// What answering a held request now would earn for the time it takes.
     fn merit(&self, ask: &Ask) -> f64 {
         let class = &self.settings.classes[ask.class];
         let share = if ask.in_share { 1.0 } else { self.settings.over_share_worth };
         let timely = if self.too_late(ask) { class.late_worth } else { 1.0 };
-        let work = if self.settings.worth_by_work { 1.0 } else { self.times[ask.class].usual };
-        class.worth * share * timely / work
+        class.worth * share * timely / self.times[ask.class].usual
     }
 
     /// Sends what is held, best first, while pools have room.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -312,7 +312,6 @@
         rank: s.get("rank", d.rank)?,
         classes,
         tenants,
-        worth_by_work: s.get("worth_by", String::new())? == "work",
         over_share_worth: s.get("over_share_worth", d.over_share_worth)?,
         max_attempts: s.get("allowed.max_attempts", d.max_attempts)?,
         cancelling: s.flag("allowed.cancelling", d.cancelling)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,7 +28,6 @@
             class(keyed(Group::All)),
         ],
         tenants: vec![Tenant { quota_per_s: 1_000.0, share: 0.25 }; 4],
-        worth_by_work: false,
         over_share_worth: 0.05,
         max_attempts: 4,
         cancelling: true,
