Let another pool help where a pool's free servers are avoided

Only one label's four tenants were refused (82 of 82 in two seconds at one node). Ruled out: cold servers (all ramps were 1.00).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -294,9 +294,12 @@
             // A few that their classes tie to full servers must not stop the others.
             while let Some(at) = self.best_held(pool, &blocked) {
                 let ask = self.held[pool][at];
-                let Some(from) = self.lender(pool, if ask.in_share { 1.0 } else { SPARE }) else { break };
+                let lenders = self.lenders(pool, if ask.in_share { 1.0 } else { SPARE });
+                if lenders.is_empty() {
+                    break;
+                }
                 self.held[pool].swap_remove(at);
-                match self.pick(ask.id, from) {
+                match lenders.into_iter().find_map(|from| self.pick(ask.id, from)) {
                     Some(server) => self.send(ask.id, server),
                     None => blocked.push(ask),
                 }
@@ -309,11 +312,12 @@
         }
     }
 
-    /// The pool itself while it has room; else another whose own tenants leave over half of it free.
-    fn lender(&self, pool: usize, part: f64) -> Option<usize> {
+    /// The pool itself while it has room, then others whose own tenants leave over half of theirs free: what
+    /// room is left in a pool may be that of servers which are avoided.
+    fn lenders(&self, pool: usize, part: f64) -> Vec<usize> {
         let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND);
-        let mut others = (0..self.pools.len()).filter(|p| *p != pool && !self.pools[*p].is_empty());
-        if self.has_room(pool, part) { Some(pool) } else { others.find(lends) }
+        let others = (0..self.pools.len()).filter(|p| *p != pool && !self.pools[*p].is_empty());
+        self.has_room(pool, part).then_some(pool).into_iter().chain(others.filter(lends)).collect()
     }
 
     /// Where the request with most merit is held that may not be blocked too; of several, the nearest aim's.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -195,6 +195,20 @@
     }
 }
 
+/// The room of servers that are avoided is of no use: where the others are full, the pool is.
+#[test]
+fn a_pool_whose_free_servers_are_avoided_is_helped() {
+    let (mut node, pool) = pool_of_four();
+    assert!(met(&mut node, UNSAFE, &pool[..1], Outcome::Reset, 30) > 0);
+    let to: Vec<ServerId> = (0..30)
+        .flat_map(|_| {
+            let (id, actions) = node.arrive(SAFE, Some(0));
+            sends(&actions, id)
+        })
+        .collect();
+    assert!(to.iter().any(|server| !pool.contains(server)), "{to:?} all went to {pool:?}");
+}
+
 /// Requests that wait for the few servers which do not err on them must not hold up those of other classes.
 #[test]
 fn a_class_that_most_servers_err_on_does_not_stop_the_others() {
