--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use crate::config::{ClassRule, Config};
+use crate::config::{ClassRule, Config, LONGEST};
 use crate::engine::{Answer, Happening, Mailbox};
 use crate::servers::{
     BODY_MOST, BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets,
@@ -491,11 +491,11 @@
     values.next().filter(|_| values.next().is_none())?.to_str().ok()
 }
 
-/// A time in seconds, with decimals; one below 0 is past.
+/// A time in seconds, with decimals; one below 0 is past, and one that no client would wait is none.
 fn seconds(text: &str) -> Option<Duration> {
     let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.' || b == b'-' || b == b'+');
     let value: f64 = text.parse().ok().filter(|_| plain)?;
-    Some(Duration::try_from_secs_f64(value.max(0.0)).unwrap_or(Duration::MAX))
+    Duration::try_from_secs_f64(value.max(0.0)).ok().filter(|time| *time <= LONGEST)
 }
 
 /// The method follows from the class.
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -15,8 +15,8 @@
 /// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
 const SPARE_SOCKETS: usize = 24;
 
-/// No deadline is longer, whatever the settings say.
-const LONGEST_US: u64 = 3_600_000_000;
+/// No deadline is longer, whatever the settings or a client say.
+pub const LONGEST: Duration = Duration::from_secs(3600);
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -91,7 +91,14 @@
         let rules = names(s, "services").into_iter().zip(&settings.classes).enumerate();
         let classes = rules
             .map(|(index, (name, class))| {
-                (name, ClassRule { index, effect: class.effect, deadline_us: class.deadline.min(LONGEST_US) })
+                (
+                    name,
+                    ClassRule {
+                        index,
+                        effect: class.effect,
+                        deadline_us: class.deadline.min(LONGEST.as_micros() as u64),
+                    },
+                )
             })
             .collect();
         let allowed = |key: &str, absent: u64| s["allowed"][key].as_f64().map_or(absent, |us| us as u64);
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -50,6 +50,8 @@
         ("a deadline in words", request("GET", "/view/1", "soon", "", "")),
         ("a deadline without end", request("GET", "/view/1", "inf", "", "")),
         ("a deadline that is no number", request("GET", "/view/1", "NaN", "", "")),
+        ("a deadline of ages", request("GET", "/view/1", "99999999999999999999999", "", "")),
+        ("a deadline past a day", request("POST", "/order/1", "86401", "", "x")),
         ("two ids", request("GET", "/view/1", "1", "Req-Id: 2\r\n", "")),
         ("an unknown class", request("GET", "/other/1", "1", "", "")),
         ("no class", request("GET", "/", "1", "", "")),
