--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -50,8 +50,11 @@
 const NO_SOCKETS: Duration = Duration::from_millis(10);
 /// How long the listener has to stay silent, once told to stop, for the kernel to have nothing more.
 const LAST_LOOK: Duration = Duration::from_millis(20);
-/// How long the first request on a connection may lag behind it at the end.
-const LATE_REQUEST: Duration = Duration::from_millis(200);
+/// How often connections that have to end are looked through for those that can.
+const CLOSE_LOOK: Duration = Duration::from_millis(20);
+/// The same in standby, and for how long a connection has to be idle there: its client may use it until then.
+const STANDBY_LOOK: Duration = Duration::from_millis(100);
+const STANDBY_IDLE: Duration = Duration::from_millis(500);
 /// How long a connection may take to end once it should, beyond the longest deadline.
 const CLOSE_WITHIN: Duration = Duration::from_secs(1);
 /// How long a body may take in any case.
@@ -61,12 +64,20 @@
 /// What a client is told when the node has no connection left to serve it with.
 const CROWDED: Duration = Duration::from_secs(1);
 
-/// Whether the node means to stay.
+/// What the node means to do with its clients. In all phases it serves those that come; in all but the first
+/// it ends each connection with its next answer.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
     Serving,
-    /// It was told to go: it serves on, and ends each connection with its next answer.
+    /// Operators want it empty: clients are to stay away, and idle connections end.
+    Standby,
+    /// It was told to go, and nobody takes its place.
     Leaving,
+    /// It was told to go, and another process has its listening socket: clients stay with the node.
+    HandedOver {
+        /// Whether operators want the node empty all the same.
+        standby: bool,
+    },
 }
 
 /// A client's connection, as the others see it.
@@ -86,7 +97,8 @@
     /// opened for a request that may be in the kernel already, and to close on that one would lose it.
     fn spare_since(&self) -> Option<Instant> {
         // A request that comes in pieces has begun, and may be whole in the kernel by now.
-        let since = self.idle_since.get().filter(|_| !self.closing.get() && !self.seen.has_begun())?;
+        let idle = !self.closing.get() && !self.seen.has_begun() && self.seen.is_quiet();
+        let since = self.idle_since.get().filter(|_| idle)?;
         // One just answered may carry the next request already: its answers say `Connection: close` instead.
         let least = if self.fresh.get() { FIRST_WITHIN } else { IDLE_LEAST };
         (since.elapsed() >= least).then_some(since)
@@ -100,6 +112,10 @@
     servers: Rc<Servers>,
     phase: Cell<Phase>,
     able: Cell<bool>,
+    /// How many descriptors there are for connections of all kinds.
+    sockets: Cell<usize>,
+    /// Told when operators have said whether the node is to be empty.
+    emptied: Notify,
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
     /// How many of them have a request open, and how many were told to end.
     busy: Cell<usize>,
@@ -115,17 +131,19 @@
 impl Clients {
     pub fn new(config: Rc<Config>, engine: Mailbox, servers: Rc<Servers>) -> Clients {
         Clients {
-            config,
             engine,
             servers,
             phase: Cell::new(Phase::Serving),
             able: Cell::new(false),
+            sockets: Cell::new(config.sockets),
+            emptied: Notify::new(),
             connections: RefCell::default(),
             busy: Cell::new(0),
             closing: Cell::new(0),
             ids: RefCell::default(),
             freed: Notify::new(),
             last_call: CancellationToken::new(),
+            config,
         }
     }
 
@@ -188,16 +206,68 @@
         });
     }
 
+    /// Whether requests can be served, now or once before.
+    pub fn can_serve(&self) -> bool {
+        self.able.set(self.able.get() || self.servers.any_ready());
+        self.able.get()
+    }
+
+    /// What operators read of the phase.
+    pub fn phase_name(&self) -> &'static str {
+        match self.phase.get() {
+            Phase::Serving => "serving",
+            Phase::Standby => "standby",
+            Phase::Leaving | Phase::HandedOver { .. } => "leaving",
+        }
+    }
+
+    /// Empties the node of clients, or takes them again.
+    pub fn stand_by(&self, standby: bool) {
+        self.phase.set(match self.phase.get() {
+            Phase::Serving | Phase::Standby if standby => Phase::Standby,
+            Phase::Serving | Phase::Standby => Phase::Serving,
+            Phase::Leaving => Phase::Leaving,
+            Phase::HandedOver { .. } => Phase::HandedOver { standby },
+        });
+        self.emptied.notify_one();
+    }
+
+    /// Ends connections in standby, once each has been idle for a while: those in use end with an answer.
+    pub async fn empty(&self) {
+        loop {
+            while self.phase.get() != Phase::Standby {
+                self.emptied.notified().await;
+            }
+            sleep(STANDBY_LOOK).await;
+            if self.phase.get() == Phase::Standby {
+                self.end_spare(STANDBY_IDLE);
+            }
+        }
+    }
+
+    /// Ends connections that have been idle for so long.
+    fn end_spare(&self, least: Duration) {
+        let connections = self.connections.borrow();
+        let idle = |c: &&Rc<Connection>| c.spare_since().is_some_and(|since| since.elapsed() >= least);
+        connections.values().filter(idle).for_each(|c| self.end(c));
+    }
+
+    /// Makes do with half of the descriptors while another process of the node runs, or no longer.
+    pub fn share_sockets(&self, shared: bool) {
+        self.sockets.set(if shared { self.config.sockets / 2 } else { self.config.sockets });
+        self.servers.limit(self.sockets.get() / 3);
+    }
+
     /// The most connections; the servers' side has the rest. A client's is taken while its request is held,
     /// a server's only while an attempt is out: clients need more.
     fn most(&self) -> usize {
-        self.config.sockets - self.servers.most()
+        self.sockets.get() - self.servers.most()
     }
 
     /// Whether there are so many connections that idle ones are ended and answers end theirs: what clients
     /// keep without asking anything more on it keeps others from connecting.
     fn over(&self) -> bool {
-        self.connections.borrow().len() - self.closing.get() > self.config.sockets / KEPT_PART
+        self.connections.borrow().len() - self.closing.get() > self.sockets.get() / KEPT_PART
     }
 
     /// How many are served; the last tenth is for refusals.
@@ -270,23 +340,19 @@
         let _ = timeout(self.config.longest() + CLOSE_WITHIN, serving).await;
     }
 
-    /// From now on each answer ends its connection.
-    pub fn leave(&self) {
-        self.phase.set(Phase::Leaving);
+    /// From now on each answer ends its connection; `handed_over` if another process takes new ones.
+    pub fn leave(&self, handed_over: bool) {
+        self.phase.set(match (handed_over, self.phase.get()) {
+            (true, phase) => Phase::HandedOver { standby: phase == Phase::Standby },
+            (false, _) => Phase::Leaving,
+        });
     }
 
     /// Ends connections as soon as they have no request open, and waits until all have.
     pub async fn close(&self) {
-        let end = |fresh_too: bool| {
-            let connections = self.connections.borrow();
-            connections.values().filter(|c| fresh_too || !c.fresh.get()).for_each(|c| self.end(c));
-        };
-        end(false);
-        // The first request of a connection that came last of all may still be on its way.
-        sleep(LATE_REQUEST).await;
-        end(true);
         while !self.connections.borrow().is_empty() {
-            self.freed.notified().await;
+            self.end_spare(Duration::ZERO);
+            let _ = timeout(CLOSE_LOOK, self.freed.notified()).await;
         }
     }
 
@@ -317,8 +383,11 @@
         if method != Method::GET && method != Method::HEAD {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
         }
-        self.able.set(self.able.get() || self.servers.any_ready());
-        match self.able.get() && self.phase.get() == Phase::Serving {
+        let welcome = match self.phase.get() {
+            Phase::Serving | Phase::HandedOver { standby: false } => true,
+            Phase::Standby | Phase::Leaving | Phase::HandedOver { standby: true } => false,
+        };
+        match self.can_serve() && welcome {
             true => plain(StatusCode::OK, "ok"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving"),
         }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -11,9 +11,11 @@
 use serde_json::Value;
 
 use crate::discovery::Update;
+use crate::operator::CALLS_MOST;
 
-/// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
-const SPARE_SOCKETS: usize = 24;
+/// Descriptors for all but connections of clients and to servers: standard streams, epoll, wake-ups, signals,
+/// the listeners, discovery, the shared state's files, and operators.
+const SPARE_SOCKETS: usize = 16 + CALLS_MOST;
 
 /// No deadline is longer, whatever the settings or a client say.
 pub const LONGEST: Duration = Duration::from_secs(3600);
@@ -24,6 +26,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    operator: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -58,6 +61,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// How many connections, of clients and to servers together, it may hold.
@@ -88,6 +93,10 @@
         let settings = parse_settings(lines.as_bytes())?;
         settings.check()?;
         let s = &file.settings;
+        let operator = match (file.operator, std::env::var("GW_OPERATOR")) {
+            (None, Ok(address)) => Some(address.parse().map_err(|error| format!("GW_OPERATOR: {error}"))?),
+            (told, _) => told,
+        };
         let rules = names(s, "services").into_iter().zip(&settings.classes).enumerate();
         let classes = rules
             .map(|(index, (name, class))| {
@@ -114,6 +123,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            operator,
             known: file.known,
             settings,
         })
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherryusher::{Discovery, Event, ServerEntry, ServerState};
+use cherryusher::{Discovery, Event, ServerEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -69,6 +69,11 @@
     Gone,
 }
 
+/// A fixed hash of the uid: every node, and this one after a restart, must build the same pools.
+pub fn id_of(uid: &str) -> ServerId {
+    xxhash_rust::xxh3::xxh3_64(uid.as_bytes())
+}
+
 /// Turns discovery's entries into the module's.
 struct Reader {
     zones: HashMap<String, u8>,
@@ -83,8 +88,7 @@
 
     fn entry(&self, target: &Target) -> ServerEntry {
         ServerEntry {
-            // A fixed hash of the uid: every node, and this one after a restart, must build the same pools.
-            id: xxhash_rust::xxh3::xxh3_64(target.uid.as_bytes()),
+            id: id_of(&target.uid),
             state: match target.state {
                 State::Ready => ServerState::Ready,
                 State::Draining => ServerState::Draining,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,12 +1,15 @@
 //! One dunelink node: it takes requests from clients, asks the decision module where each goes, and passes
 //! on the servers' answers.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod clients;
 mod config;
 mod discovery;
 mod engine;
+mod operator;
+mod passed;
 mod servers;
+mod shared;
 mod socket;
 mod trust;
 
@@ -26,21 +29,35 @@
 use crate::clients::Clients;
 use crate::config::Config;
 use crate::engine::{Engine, Mailbox};
+use crate::operator::Desk;
 use crate::servers::Servers;
+use crate::shared::Shared;
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
 /// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
 const STAY_MOST: Duration = Duration::from_millis(3400);
+/// How often a node that waits for its first servers looks for them.
+const ABLE_LOOK: Duration = Duration::from_millis(10);
 /// What comes on top of the longest deadline, and what the last answers may take.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
-async fn run() -> Result<(), Box<dyn Error>> {
+async fn run(passed: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
     // From the first moment: unhandled, both signals end the process.
     let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
     let config = Rc::new(Config::read(&path).map_err(|error| format!("{path}: {error}"))?);
-    let listener = TcpListener::bind(config.listen).await?;
+    let handed_over = passed.is_some();
+    let listener = match passed {
+        Some(listener) => TcpListener::from_std(listener)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
+    let operators = match config.operator {
+        Some(address) => {
+            Some(TcpListener::bind(address).await.map_err(|error| format!("{address}: {error}"))?)
+        }
+        None => None,
+    };
     eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
     let (mailbox, inbox) = Mailbox::new(config.seed);
     let (servers, subscribe) = (Rc::new(Servers::new(&config)), Rc::new(Notify::new()));
@@ -52,19 +69,41 @@
     let (moved, address) = watch::channel(config.discovery);
     spawn_local(reread(path, hang_up, moved));
     spawn_local(discovery::follow(config.clone(), address, servers.clone(), mailbox.clone(), subscribe));
-    let clients = Rc::new(Clients::new(config.clone(), mailbox, servers));
+    let clients = Rc::new(Clients::new(config.clone(), mailbox.clone(), servers.clone()));
+    if let Some(listener) = operators {
+        eprintln!("dunelink: {} hears operators on {}", config.name, listener.local_addr()?);
+        let shared = Shared::open(&std::env::temp_dir(), &config.name);
+        let desk = Rc::new(Desk::new(shared, clients.clone(), servers, mailbox));
+        let (following, emptying) = (desk.clone(), clients.clone());
+        spawn_local(async move { following.follow().await });
+        spawn_local(async move { emptying.empty().await });
+        spawn_local(operator::listen(listener, desk));
+    }
     let watched = clients.clone();
     spawn_local(async move { watched.sweep().await });
     let stop = Rc::new(Notify::new());
-    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
+    let (able, accepted) = (clients.clone(), stop.clone());
+    let accepting = spawn_local(async move {
+        // While another process may serve, what this one could not serve is that one's.
+        while handed_over && !able.can_serve() {
+            sleep(ABLE_LOOK).await;
+        }
+        able.accept(listener, accepted).await;
+    });
 
     terminate.recv().await;
     eprintln!("dunelink: {} is leaving", config.name);
-    clients.leave();
-    sleep(STILL_ACCEPT).await;
-    stop.notify_one();
-    // Where all connections are busy, the kernel's would be waited for too long.
-    let _ = timeout(LAST_ANSWERS, accepting).await;
+    clients.leave(handed_over);
+    if handed_over {
+        // The successor takes what waits in the kernel. Clients in the midst of things move with their answers.
+        accepting.abort();
+        sleep(STILL_ACCEPT).await;
+    } else {
+        sleep(STILL_ACCEPT).await;
+        stop.notify_one();
+        // Where all connections are busy, the kernel's would be waited for too long.
+        let _ = timeout(LAST_ANSWERS, accepting).await;
+    }
     let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
     if timeout(wait, clients.close()).await.is_err() {
         clients.last_call();
@@ -88,8 +127,10 @@
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
+    // First of all, while no other descriptor can have its number.
+    let passed = passed::listener()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run())
+    LocalSet::new().block_on(&runtime, run(passed))
 }
 
 fn main() -> ExitCode {
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -1,7 +1,7 @@
 //! The servers' side: who they are, the idle connections to them, and one attempt at a time on each.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -90,9 +90,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     line: Rc<Line>,
-    endpoint: SocketAddr,
-    /// When its server had started as it was opened.
-    started: Micros,
+    /// Of which run of its server.
+    run: Run,
     idle_since: Instant,
     _task: AbortOnDropHandle<()>,
 }
@@ -112,9 +111,17 @@
     }
 }
 
-struct Member {
+/// One run of a server, as far as it is known: what was opened to an earlier one is of no use.
+#[derive(Clone, Copy, PartialEq)]
+struct Run {
     endpoint: SocketAddr,
     started: Micros,
+    /// How many times operators had put servers back.
+    returns: u64,
+}
+
+struct Member {
+    run: Run,
     ready: bool,
     /// When it last answered.
     heard: Instant,
@@ -125,8 +132,13 @@
 /// All servers that discovery has named, and the connections to them.
 pub struct Servers {
     members: RefCell<HashMap<ServerId, Member>>,
+    /// All that lists have ever named: operators may call back one that is gone.
+    named: RefCell<HashSet<ServerId>>,
+    /// Those that operators have taken out.
+    out: RefCell<HashSet<ServerId>>,
+    returns: Cell<u64>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     connect_timeout: Duration,
     idle_most: Duration,
     trust: Trust,
@@ -136,8 +148,11 @@
     pub fn new(config: &Config) -> Servers {
         Servers {
             members: RefCell::default(),
+            named: RefCell::default(),
+            out: RefCell::default(),
+            returns: Cell::new(0),
             open: Rc::default(),
-            most: config.sockets / 3,
+            most: Cell::new(config.sockets / 3),
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
             idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
             trust: Trust::new(),
@@ -151,7 +166,36 @@
 
     /// How many connections to servers there may be.
     pub fn most(&self) -> usize {
-        self.most
+        self.most.get()
+    }
+
+    /// Sets how many connections to servers there may be.
+    pub fn limit(&self, most: usize) {
+        self.most.set(most);
+        while self.open.get() > most && self.evict() {}
+    }
+
+    /// Whether a list has named this server.
+    pub fn has_heard_of(&self, server: ServerId) -> bool {
+        self.named.borrow().contains(&server)
+    }
+
+    /// Sends a server nothing new from now on, whatever lists say.
+    pub fn take_out(&self, server: ServerId) {
+        self.out.borrow_mut().insert(server);
+        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
+            member.idle.clear();
+        }
+    }
+
+    /// Sends a server requests again if lists name it ready, on new connections.
+    pub fn put_back(&self, server: ServerId) {
+        self.out.borrow_mut().remove(&server);
+        self.returns.set(self.returns.get() + 1);
+        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
+            member.run.returns = self.returns.get();
+            member.idle.clear();
+        }
     }
 
     /// Whether there is any server to send to.
@@ -165,12 +209,13 @@
         let mut members = self.members.borrow_mut();
         members.values_mut().filter(|_| whole).for_each(|m| m.ready = false);
         for (entry, endpoint) in list {
+            self.named.borrow_mut().insert(entry.id);
             let ready = entry.state == ServerState::Ready;
-            let (started, heard) = (entry.ready_at, Instant::now());
-            let fresh = || Member { endpoint, started, ready, heard, idle: Vec::new() };
+            let run = Run { endpoint, started: entry.ready_at, returns: self.returns.get() };
+            let fresh = || Member { run, ready, heard: Instant::now(), idle: Vec::new() };
             let member = members.entry(entry.id).or_insert_with(fresh);
             // A machine that vanished and is back has forgotten its connections, and they say nothing of it.
-            if member.endpoint != endpoint || member.started != started {
+            if (member.run.endpoint, member.run.started) != (run.endpoint, run.started) {
                 *member = fresh();
             }
             member.ready = ready;
@@ -180,9 +225,9 @@
         members.retain(|_, m| m.ready);
     }
 
-    /// Where to reach the server and when it started, if it takes requests.
-    fn whereabouts(&self, server: ServerId) -> Option<(SocketAddr, Micros)> {
-        self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))
+    /// Where to reach the server, if it takes requests.
+    fn whereabouts(&self, server: ServerId) -> Option<Run> {
+        self.members.borrow().get(&server).filter(|_| !self.out.borrow().contains(&server)).map(|m| m.run)
     }
 
     /// The freshest idle connection that has rested and is quiet; older ones are retired in time. One that
@@ -213,10 +258,10 @@
             return;
         }
         connection.idle_since = Instant::now();
-        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
-            if (member.endpoint, member.started) == (connection.endpoint, connection.started) {
-                member.idle.push(connection);
-            }
+        if self.whereabouts(server) == Some(connection.run)
+            && let Some(member) = self.members.borrow_mut().get_mut(&server)
+        {
+            member.idle.push(connection);
         }
     }
 
@@ -229,10 +274,11 @@
 
     /// Closes a server's idle connections if it has answered nothing since `sent`, some time ago.
     fn doubt(&self, server: ServerId, sent: Instant) {
-        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
-            if sent.elapsed() >= SILENT && member.heard < sent {
-                member.idle.clear();
-            }
+        if let Some(member) = self.members.borrow_mut().get_mut(&server)
+            && sent.elapsed() >= SILENT
+            && member.heard < sent
+        {
+            member.idle.clear();
         }
     }
 
@@ -259,12 +305,12 @@
         }
     }
 
-    async fn connect(&self, (endpoint, started): (SocketAddr, Micros)) -> Result<Connection, Outcome> {
-        if self.open.get() >= self.most && !self.evict() {
+    async fn connect(&self, run: Run) -> Result<Connection, Outcome> {
+        if self.open.get() >= self.most() && !self.evict() {
             return Err(Outcome::NotSent);
         }
         let place = Place::taken(&self.open);
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(endpoint)).await {
+        let stream = match timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if out_of_sockets(&error) => {
                 self.evict();
@@ -282,7 +328,7 @@
             let _ = connection.await;
         });
         let _task = AbortOnDropHandle::new(task);
-        Ok(Connection { sender, line, endpoint, started, idle_since: Instant::now(), _task })
+        Ok(Connection { sender, line, run, idle_since: Instant::now(), _task })
     }
 
     /// One attempt, to its end.
@@ -321,7 +367,7 @@
                 }
             };
             // A drain may have been heard of while the connection came up.
-            if self.whereabouts(server) != Some((connection.endpoint, connection.started)) {
+            if self.whereabouts(server) != Some(connection.run) {
                 return (Outcome::NotSent, None);
             }
             let Some(mut request) = outgoing.request() else { return (Outcome::NotSent, None) };
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -68,8 +68,9 @@
     }
 }
 
-/// What was seen on a client's socket, shared with who answers it.
+/// A client's socket and what was seen on it, shared with who answers it.
 pub struct Seen {
+    stream: RefCell<TcpStream>,
     passing: RefCell<Passing>,
     lingers: Cell<bool>,
 }
@@ -80,6 +81,11 @@
         self.passing.borrow().begun
     }
 
+    /// Whether the kernel holds nothing of a request that is still to be read.
+    pub fn is_quiet(&self) -> bool {
+        !matches!(peek(&self.stream.borrow()), Ok(1..))
+    }
+
     /// Whether the head of the request at hand may state a length, which hyper drops if the request has a
     /// `Transfer-Encoding` too.
     pub fn has_length(&self) -> bool {
@@ -102,56 +108,52 @@
 
 /// A client's socket.
 pub struct ClientSocket {
-    stream: TcpStream,
     seen: Rc<Seen>,
     lingering: Option<(Pin<Box<Sleep>>, usize)>,
 }
 
 impl ClientSocket {
     pub fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
-        let seen = Rc::new(Seen { passing: RefCell::new(Passing::new(false)), lingers: Cell::new(false) });
-        (ClientSocket { stream, seen: seen.clone(), lingering: None }, seen)
+        let (stream, passing) = (RefCell::new(stream), RefCell::new(Passing::new(false)));
+        let seen = Rc::new(Seen { stream, passing, lingers: Cell::new(false) });
+        (ClientSocket { seen: seen.clone(), lingering: None }, seen)
     }
 }
 
 impl AsyncRead for ClientSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_read(cx, buf);
         self.seen.passing.borrow_mut().take(&buf.filled()[before..]);
         polled
     }
 }
 
 impl AsyncWrite for ClientSocket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.seen.stream.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.lingering.is_none() {
-            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            ready!(Pin::new(&mut *this.seen.stream.borrow_mut()).poll_shutdown(cx))?;
             if !this.seen.lingers.get() {
                 return Poll::Ready(Ok(()));
             }
@@ -163,7 +165,7 @@
             }
             let mut space = [0; 16 * 1024];
             let mut buf = ReadBuf::new(&mut space);
-            match ready!(Pin::new(&mut this.stream).poll_read(cx, &mut buf)) {
+            match ready!(Pin::new(&mut *this.seen.stream.borrow_mut()).poll_read(cx, &mut buf)) {
                 Ok(()) if !buf.filled().is_empty() => *left = left.saturating_sub(buf.filled().len()),
                 _ => break,
             }
@@ -172,6 +174,11 @@
     }
 }
 
+/// How much of the next byte the kernel holds; none at the end of what the peer sends.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
 /// A place in the budget for connections to servers.
 pub struct Place(Rc<Cell<usize>>);
 
@@ -223,9 +230,7 @@
 
     /// Whether the kernel holds nothing of it that is still to be read, nor its end.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        matches!(peek(&self.stream.borrow()), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
