--- a/src/decide.rs
+++ b/src/decide.rs
@@ -330,13 +330,14 @@
         let own = self.members(pool);
         let members = if alike || !own.iter().all(errs) { own } else { &self.ready };
         let heed = members.iter().filter(|i| self.servers[**i].avoided(now)).count() * 2 <= members.len();
+        let owed = |i: &usize| self.upkeep.owed_a_trial(self.servers[*i].entry.id);
         let fit = |i: &usize| {
             let s = &self.servers[*i];
             let reach = self.ramp(&s.entry) * (self.settings.fall_multiple / 2.0).max(1.0);
             (s.in_flight == 0 || f64::from(s.in_flight) < self.room(*i).ceil())
                 // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
                 // from each node, or all that its neighbours cannot take, would push it over.
-                && (reach >= 1.0 || self.upkeep.owed_a_trial(s.entry.id) || unit(hash(id, s.entry.id)) <= reach)
+                && (reach >= 1.0 || owed(i) || unit(hash(id, s.entry.id)) <= reach)
                 && !(heed && s.avoided(now))
                 && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
                 && self.allowed(job, &s.entry)
@@ -345,8 +346,8 @@
         // A repeat may be tied to servers that all err.
         let tied = alike || !job.attempts.is_empty() && fits.iter().all(errs);
         fits.retain(|i| tied || !errs(i));
-        if let Some(back) = fits.iter().find(|i| self.upkeep.owed_a_trial(self.servers[**i].entry.id)) {
-            return Some(*back);
+        if let Some(back) = fits.iter().copied().find(owed) {
+            return Some(back);
         }
         // Each is as likely as it has capacity: most nodes hold nothing at either of the two, and comparing
         // sizes alone would send nearly all to the largest. Where servers are warm for keys they met, the
