--- a/src/api.rs
+++ b/src/api.rs
@@ -292,6 +292,11 @@
     Arrived(Request),
     /// The client has left; no answer is owed any more.
     Left(RequestId),
+    /// A request's body has begun to go to a server as it comes, and is kept nowhere: it can't be sent again,
+    /// and its time runs from its last byte, so that the attempt says when it is over.
+    BodyPassedOn(RequestId),
+    /// The last byte of such a body has come.
+    BodyWhole(RequestId),
     /// A streamed answer has begun; the attempt now belongs to the client.
     StreamBegan(RequestId, AttemptNo),
     /// An attempt has ended; each one sent does so once.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -117,10 +117,9 @@
             Event::PutBack(id, at) => self.put_back(id, at),
             Event::Arrived(request) => self.arrived(request),
             Event::Left(id) => self.finish(id),
-            Event::StreamBegan(id, attempt) => {
-                self.change(id, |job| job.done = true);
-                self.cancel_others(id, Some(attempt));
-            }
+            Event::BodyPassedOn(id) => self.body_passed_on(id),
+            Event::BodyWhole(id) => self.body_whole(id),
+            Event::StreamBegan(id, attempt) => self.stream_began(id, attempt),
             Event::AttemptEnded(ended) => self.attempt_ended(ended),
             Event::Woken(ASK) => self.ask(),
             Event::Woken(LOOK) => {
@@ -303,7 +302,8 @@
             Effect::Keyed { group: Group::Zone, .. } => a.to.zone == to.zone,
             Effect::Keyed { group: Group::Cell, .. } => a.to.cell == to.cell,
         };
-        job.attempts.len() < usize::from(self.settings.max_attempts)
+        !job.passed_on
+            && job.attempts.len() < usize::from(self.settings.max_attempts)
             && (job.out() == 0 || self.settings.second_copies)
             && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(a))
     }
@@ -394,7 +394,7 @@
         server.last_sent = self.now;
         self.upkeep.tried(server.entry.id);
         job.held = false;
-        job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out });
+        job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out, working: true });
         self.actions.push(Action::Send { request: id, server: server.entry.id });
         self.wake(id);
     }
@@ -412,7 +412,8 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let hopeless = (job.ask.aim_at as f64 - TIMELY * self.times[job.ask.class].usual) as Micros;
         let held = |at: Micros| job.held.then_some(at);
-        let times = [Some(job.give_up_at), self.overdue_at(job), held(hopeless), held(job.place_until)];
+        let give_up_at = Some(job.give_up_at).filter(|_| !job.passed_on);
+        let times = [give_up_at, self.overdue_at(job), held(hopeless), held(job.place_until)];
         let next = times.into_iter().flatten().filter(|t| *t > self.now).min().unwrap_or(self.now);
         if next > self.now && (job.wake_at <= self.now || next < job.wake_at) {
             self.actions.push(Action::Wake { after: next - self.now, token: id });
@@ -450,11 +451,11 @@
         let Some(ended) = job.attempts.get_mut(usize::from(end.attempt)).filter(out) else { return };
         ended.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         job.done |= end.finished;
-        let (ask, to) = (job.ask, ended.to);
+        let (ask, to, working) = (job.ask, ended.to, ended.working);
         if end.outcome == Outcome::Served && job.out() > 0 {
             self.copies_win += STEP * (f64::from(u8::from(end.attempt > 0)) - self.copies_win);
         }
-        self.learn(ask, to.id, end);
+        self.learn(ask, to.id, end, working);
         let job = &self.jobs[&id];
         if job.done {
             self.finish(id);
@@ -471,12 +472,15 @@
     }
 
     /// Learns from an outcome how much the server takes and how long the class usually needs.
-    fn learn(&mut self, ask: Ask, to: ServerId, end: Ended) {
+    /// One that is not working on it any more, or not yet, is not slow.
+    pub(crate) fn learn(&mut self, ask: Ask, to: ServerId, end: Ended, working: bool) {
         let (class, Ok(i)) = (ask.class, self.find(to)) else { return };
         let waiting = self.held.iter().flatten().any(|ask| ask.in_share);
         let server = &mut self.servers[i];
-        server.in_flight -= 1;
-        if self.upkeep.was_before_return(to, self.now.saturating_sub(end.took)) {
+        server.in_flight -= u32::from(working);
+        if end.outcome == Outcome::Served && !working
+            || self.upkeep.was_before_return(to, self.now.saturating_sub(end.took))
+        {
             return;
         }
         // One given up has waited too; but a few very slow servers must not look like an overload of all.
@@ -513,7 +517,7 @@
         }
     }
 
-    fn cancel_others(&mut self, id: RequestId, but: Option<AttemptNo>) {
+    pub(crate) fn cancel_others(&mut self, id: RequestId, but: Option<AttemptNo>) {
         let Some(job) = self.jobs.get(&id) else { return };
         for (n, attempt) in (0..).zip(&job.attempts) {
             if self.settings.cancelling && attempt.fate == Fate::Out && but != Some(n) {
@@ -550,7 +554,7 @@
         self.cancel_others(id, None);
     }
 
-    fn change(&mut self, id: RequestId, how: impl FnOnce(&mut Job)) {
+    pub(crate) fn change(&mut self, id: RequestId, how: impl FnOnce(&mut Job)) {
         self.jobs.get_mut(&id).map(how);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 mod decide;
 mod fleet;
 mod state;
+mod transfer;
 pub mod wire;
 
 pub use api::*;
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -7,26 +7,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use cherryusher::{Effect, RequestId};
-use http_body_util::{BodyExt, Full};
+use bytes::Bytes;
+use cherryusher::{Effect, Event, RequestId};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::body::{Progress, Reply, Room, Upload, Wrong};
 use crate::config::{ClassRule, Config, LONGEST};
 use crate::engine::{Answer, Happening, Mailbox};
-use crate::servers::{
-    BODY_MOST, BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets,
-};
+use crate::servers::{BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets};
 use crate::socket::{ClientSocket, Seen};
 
 const OWNER: HeaderName = HeaderName::from_static("req-owner");
@@ -36,14 +34,18 @@
 /// A deadline counts from the client's sending; this much of it has passed when the request is read, and
 /// passes again before the answer is back.
 const TRANSIT: Duration = Duration::from_millis(3);
-/// How long a connection may take to bring a whole request, from its start or its last answer on. A client
-/// that has nothing to ask for longer connects anew; one that means no good is owed an end within 3 s.
+/// How long a client may take for a head, and a connection may stand without one. A client that has nothing to
+/// ask for longer connects anew.
 const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
+/// A connection that has brought no head by then is owed its end: 3 s after its start at the latest.
+const FIRST_HEAD_WITHIN: Duration = Duration::from_millis(2800);
+/// How long a client may take nothing of an answer.
+const TAKES_WITHIN: Duration = Duration::from_secs(10);
 /// For how long a new connection is left alone in a crowd until its first request comes: clients connect
 /// because they have one.
 const FIRST_WITHIN: Duration = Duration::from_millis(300);
-/// How often connections are looked through for those that do not take their answers.
-const SWEEP: Duration = Duration::from_secs(1);
+/// How often connections are looked through for those that bring or take nothing.
+const SWEEP: Duration = Duration::from_millis(100);
 /// For how long an older one has to be idle before it is closed.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// How long accepting pauses when there are no descriptors left.
@@ -55,10 +57,6 @@
 /// The same in standby, and for how long a connection has to be idle there: its client may use it until then.
 const STANDBY_LOOK: Duration = Duration::from_millis(100);
 const STANDBY_IDLE: Duration = Duration::from_millis(500);
-/// How long a connection may take to end once it should, beyond the longest deadline.
-const CLOSE_WITHIN: Duration = Duration::from_secs(1);
-/// How long a body may take in any case.
-const BODY_LEAST: Duration = Duration::from_millis(20);
 /// Connections are kept open between requests up to this part of all.
 const KEPT_PART: usize = 3;
 /// What a client is told when the node has no connection left to serve it with.
@@ -85,9 +83,12 @@
     /// Since when it has had no request open, and whether it has had one.
     idle_since: Cell<Option<Instant>>,
     fresh: Cell<bool>,
+    since: Instant,
     /// Whether it was told to end.
     closing: Cell<bool>,
     close: Notify,
+    /// Told to end it at once.
+    cut: Notify,
     /// What has passed on its socket.
     seen: Rc<Seen>,
 }
@@ -105,6 +106,39 @@
     }
 }
 
+impl Connection {
+    /// Whether its client brings nothing, or takes nothing, for too long to be served.
+    fn is_stuck(&self) -> bool {
+        let head_due = self.seen.head_since().filter(|_| self.idle_since.get().is_some()).map(|since| {
+            let due = since + REQUEST_WITHIN;
+            if self.fresh.get() { due.min(self.since + FIRST_HEAD_WITHIN) } else { due }
+        });
+        head_due.is_some_and(|due| due <= Instant::now())
+            || self.seen.blocked_since().is_some_and(|since| since.elapsed() >= TAKES_WITHIN)
+    }
+}
+
+/// A request that is open on a connection, until hyper has taken the last of its answer.
+struct Open {
+    clients: Rc<Clients>,
+    connection: Rc<Connection>,
+}
+
+impl Open {
+    fn new(clients: &Rc<Clients>, connection: &Rc<Connection>) -> Open {
+        clients.busy.set(clients.busy.get() + 1);
+        connection.idle_since.set(None);
+        Open { clients: clients.clone(), connection: connection.clone() }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.connection.idle_since.set(Some(Instant::now()));
+        self.clients.busy.set(self.clients.busy.get() - 1);
+    }
+}
+
 /// The listener's side of the node.
 pub struct Clients {
     config: Rc<Config>,
@@ -122,6 +156,7 @@
     closing: Cell<usize>,
     /// The ids of all open requests: servers and logs tell requests apart by them.
     ids: RefCell<HashSet<Box<str>>>,
+    room: Rc<Room>,
     /// Told when a connection has ended.
     freed: Notify,
     /// Told when the node can wait no longer.
@@ -129,7 +164,7 @@
 }
 
 impl Clients {
-    pub fn new(config: Rc<Config>, engine: Mailbox, servers: Rc<Servers>) -> Clients {
+    pub fn new(config: Rc<Config>, engine: Mailbox, servers: Rc<Servers>, room: Rc<Room>) -> Clients {
         Clients {
             engine,
             servers,
@@ -141,6 +176,7 @@
             busy: Cell::new(0),
             closing: Cell::new(0),
             ids: RefCell::default(),
+            room,
             freed: Notify::new(),
             last_call: CancellationToken::new(),
             config,
@@ -190,8 +226,10 @@
         let connection = Rc::new(Connection {
             idle_since: Cell::new(Some(Instant::now())),
             fresh: Cell::new(true),
+            since: Instant::now(),
             closing: Cell::new(false),
             close: Notify::new(),
+            cut: Notify::new(),
             seen,
         });
         self.connections.borrow_mut().insert(number, connection.clone());
@@ -281,14 +319,13 @@
         connection.close.notify_one();
     }
 
-    /// Ends connections that have stood without a request for longer than hyper lets them: their clients do
-    /// not take the last answer.
+    /// Ends connections that have stood without a request for long, and cuts off those that are stuck.
     pub async fn sweep(&self) {
         loop {
             sleep(SWEEP).await;
-            let stuck =
-                |c: &&Rc<Connection>| c.spare_since().is_some_and(|s| s.elapsed() > 2 * REQUEST_WITHIN);
-            self.connections.borrow().values().filter(stuck).for_each(|c| self.end(c));
+            self.end_spare(REQUEST_WITHIN);
+            let connections = self.connections.borrow();
+            connections.values().filter(|c| c.is_stuck()).for_each(|c| c.cut.notify_one());
         }
     }
 
@@ -305,39 +342,45 @@
         let service = service_fn(|request| {
             let (clients, connection, seen) = (self.clone(), connection.clone(), connection.seen.clone());
             async move {
-                let since = connection.idle_since.take().unwrap_or_else(Instant::now);
-                let busy = Counted::one_more(&clients.busy);
                 // Its first request is due within a time of the connection; others come when they come.
-                let began = if connection.fresh.get() { since } else { Instant::now() };
+                let began = if connection.fresh.get() { connection.since } else { Instant::now() };
+                let open = Open::new(&clients, &connection);
                 let answered = clients.respond(request, &seen, began + REQUEST_WITHIN).await;
                 connection.fresh.set(false);
                 let ends =
                     clients.over() || connection.closing.get() || clients.phase.get() != Phase::Serving;
                 let response = match answered {
-                    Ok((response, chunked)) if !ends && !chunked => response,
-                    Ok((response, _)) => ending(response),
+                    Ok(Answered { response, next: Next::Follows }) if !ends => response,
+                    Ok(Answered { response, next: Next::Follows | Next::Blurred }) => ending(response),
+                    Ok(Answered { response, next: Next::Cut }) => {
+                        seen.linger();
+                        ending(response)
+                    }
                     // Where its next request begins, or that it is one, can't be relied on.
                     Err((status, why)) => {
                         seen.linger();
                         ending(plain(status, why))
                     }
                 };
-                connection.idle_since.set(Some(Instant::now()));
-                drop(busy);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|reply| reply.until_taken(open)))
             }
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(REQUEST_WITHIN).max_buf_size(BUFFER_MOST);
+        // Its time for heads runs from the last answer on, not from a head's first byte.
+        builder.header_read_timeout(None).max_buf_size(BUFFER_MOST);
         let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
         tokio::select! {
             // What has come is read before the connection is closed.
             biased;
             _ = serving.as_mut() => return,
+            () = connection.cut.notified() => return,
             () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
         }
-        // A client that does not read its answer must not hold the connection for ever.
-        let _ = timeout(self.config.longest() + CLOSE_WITHIN, serving).await;
+        tokio::select! {
+            biased;
+            _ = serving => {}
+            () = connection.cut.notified() => {}
+        }
     }
 
     /// From now on each answer ends its connection; `handed_over` if another process takes new ones.
@@ -361,25 +404,35 @@
         self.last_call.cancel();
     }
 
-    /// The answer, and whether the request came in chunks; or what is wrong with it.
-    async fn respond(&self, request: Request<Incoming>, seen: &Seen, by: Instant) -> Result<Answered, Wrong> {
+    /// The answer, or what is wrong with the request.
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        seen: &Rc<Seen>,
+        by: Instant,
+    ) -> Result<Answered, Wrong> {
         if request.uri().path() == "/_health" {
             if !request.body().is_end_stream() {
                 return Err((StatusCode::BAD_REQUEST, "a GET has no body"));
             }
             seen.read_whole(Some(0));
-            return Ok((self.health(request.method()), false));
+            return Ok(Answered { response: self.health(request.method()), next: Next::Follows });
         }
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         let taken = self.read(request, seen, by).await?;
+        let outgoing = taken.outgoing.clone();
         // Where all others are busy too, a refusal needs no server and makes room.
-        if self.busy.get() > self.served() {
-            return Ok((refused(Some(CROWDED)), chunked));
-        }
-        Ok((self.wait(taken).await, chunked))
+        let crowded = self.busy.get() > self.served();
+        let response = if crowded { refused(Some(CROWDED)) } else { self.wait(taken).await? };
+        let next = match outgoing.came() {
+            None => Next::Cut,
+            Some(_) if chunked => Next::Blurred,
+            Some(_) => Next::Follows,
+        };
+        Ok(Answered { response, next })
     }
 
-    fn health(&self, method: &Method) -> Response<Full<Bytes>> {
+    fn health(&self, method: &Method) -> Response<Reply> {
         if method != Method::GET && method != Method::HEAD {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
         }
@@ -394,8 +447,12 @@
     }
 
     /// Reads a request whole and checks it; what is wrong with it is the client's to mend.
-    async fn read(&self, request: Request<Incoming>, seen: &Seen, by: Instant) -> Result<Taken<'_>, Wrong> {
-        let came = Instant::now();
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        seen: &Rc<Seen>,
+        by: Instant,
+    ) -> Result<Taken<'_>, Wrong> {
         let wrong = |why| Err((StatusCode::BAD_REQUEST, why));
         let (head, body) = request.into_parts();
         // Of the two, hyper goes by the encoding and hides the length: another request may be in the body
@@ -403,9 +460,6 @@
         if head.headers.contains_key(header::TRANSFER_ENCODING) && seen.has_length() {
             return wrong("both Content-Length and Transfer-Encoding");
         }
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(TOO_LARGE);
-        }
         let path = head.uri.path();
         let class = path.split('/').nth(1).and_then(|name| self.config.classes.get(name)).copied();
         let Some(class) = class else { return Err((StatusCode::NOT_FOUND, "no such class")) };
@@ -417,25 +471,34 @@
             return wrong("Req-Deadline is missing or unreadable");
         };
         method_fits(&class, &head.method, &head.headers)?;
-        // No client waits longer than its class allows; this also bounds all that is done for it.
-        let most = Duration::from_micros(class.deadline_us);
-        let deadline = came + patience.min(most).saturating_sub(TRANSIT);
-        let body = timeout_at(deadline.min(by).max(came + BODY_LEAST), read_body(body)).await;
-        let body = body.unwrap_or(Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")))?;
-        let sized = !head.headers.contains_key(header::TRANSFER_ENCODING);
-        seen.read_whole(sized.then_some(body.len() as u64));
-        if head.method == Method::GET && !body.is_empty() {
+        if head.method == Method::GET && !body.is_end_stream() {
             return wrong("a GET has no body");
         }
+        // No client waits longer than its class allows; this also bounds all that is done for it. Its time runs
+        // from its last byte.
+        let most = Duration::from_micros(class.deadline_us);
+        let patience = patience.min(most).saturating_sub(TRANSIT);
+        let upload = Upload::read(body, by, &self.room, seen).await?;
+        let came = Instant::now();
         let Some(unique) = self.claim(id) else {
             return Err((StatusCode::CONFLICT, "another open request has this Req-Id"));
         };
         let tenant = only(&head.headers, &OWNER).and_then(|name| self.config.tenants.get(name)).copied();
         let key = path.split('/').skip(2).last().filter(|part| !part.is_empty());
+        let number = self.engine.number();
+        if let Upload::Streamed(stream) = &upload {
+            let engine = self.engine.clone();
+            stream.on_progress(move |progress| match progress {
+                Progress::PassedOn => engine.send(Happening::Module(Event::BodyPassedOn(number))),
+                Progress::Whole(_) => engine.send(Happening::Module(Event::BodyWhole(number))),
+                // The client is told, and then counts as having left.
+                Progress::Kept | Progress::Failed(_) => {}
+            });
+        }
         let request = cherryusher::Request {
-            id: self.engine.number(),
+            id: number,
             class: class.index,
-            remaining: deadline.saturating_duration_since(Instant::now()).as_micros() as u64,
+            remaining: patience.as_micros() as u64,
             expected_work: only(&head.headers, &COST)
                 .and_then(|us| us.parse::<f64>().ok())
                 .filter(|us| *us > 0.0)
@@ -447,12 +510,13 @@
         let mut headers = head.headers;
         drop_hop_headers(&mut headers);
         headers.remove(DEADLINE);
-        if head.method == Method::POST {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        if let Some(length) = upload.length().filter(|_| head.method == Method::POST) {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
         }
         headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
         let once = class.effect == Effect::Unsafe;
-        let outgoing = Rc::new(Outgoing { method: head.method, target, headers, body, deadline, once });
+        let method = head.method;
+        let outgoing = Rc::new(Outgoing { method, target, headers, upload, patience, came, once });
         Ok(Taken { request, outgoing, _unique: unique })
     }
 
@@ -462,22 +526,32 @@
     }
 
     /// Hands a request to the engine and waits for the final answer. Dropped before it, the client has left.
-    async fn wait(&self, taken: Taken<'_>) -> Response<Full<Bytes>> {
+    async fn wait(&self, taken: Taken<'_>) -> Result<Response<Reply>, Wrong> {
         let (sender, answer) = oneshot::channel();
+        let upload = taken.outgoing.upload.clone();
+        let failed = async move {
+            match upload {
+                Upload::Streamed(stream) => stream.failed().await,
+                Upload::Whole { .. } => std::future::pending().await,
+            }
+        };
         let mut waiting = Waiting { id: taken.request.id, engine: &self.engine, answered: false };
         self.engine.send(Happening::Arrived(taken.request, taken.outgoing, sender));
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
-            () = self.last_call.cancelled() => return plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"),
+            wrong = failed => return Err(wrong),
+            () = self.last_call.cancelled() => {
+                return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
+            }
         };
         waiting.answered = true;
-        match answer {
-            Ok(Answer::Served(response)) => response.map(Full::new),
+        Ok(match answer {
+            Ok(Answer::Served(response)) => response,
             Ok(Answer::Refused(stay_away)) => refused(stay_away),
             Ok(Answer::Failed { timed_out: true }) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
             Ok(Answer::Failed { timed_out: false }) | Err(_) => plain(StatusCode::BAD_GATEWAY, "no answer"),
-        }
+        })
     }
 }
 
@@ -500,31 +574,23 @@
     }
 }
 
-/// One in a count, for as long as it lasts.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl Counted<'_> {
-    fn one_more(count: &Cell<usize>) -> Counted<'_> {
-        count.set(count.get() + 1);
-        Counted(count)
-    }
+/// An answer, and what follows on its connection.
+struct Answered {
+    response: Response<Reply>,
+    next: Next,
 }
 
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// Where the next request begins.
+enum Next {
+    /// Right behind this one.
+    Follows,
+    /// Behind the last chunk: where that one ended among the bytes is hyper's to know, so that the next one's
+    /// head could not be told apart.
+    Blurred,
+    /// Behind a body that is still coming.
+    Cut,
 }
 
-/// An answer, and whether its connection has to end as the request came in chunks: where that one ended among
-/// the bytes is hyper's to know, so the next one's head could not be told apart.
-type Answered = (Response<Full<Bytes>>, bool);
-
-/// What a client did wrong.
-type Wrong = (StatusCode, &'static str);
-
-const TOO_LARGE: Wrong = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-
 /// Tells the engine if the client goes away first: hyper then drops the request's future.
 struct Waiting<'a> {
     id: RequestId,
@@ -540,20 +606,6 @@
     }
 }
 
-/// Reads a body to its end, or past the most that it may hold.
-async fn read_body(mut body: Incoming) -> Result<Bytes, Wrong> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return Err((StatusCode::BAD_REQUEST, "the body is broken")) };
-        let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > BODY_MOST {
-            return Err(TOO_LARGE);
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(whole.freeze())
-}
-
 /// The value of a header that is there once.
 fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
@@ -584,18 +636,18 @@
 }
 
 /// The last answer on its connection.
-fn ending(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn ending(mut response: Response<Reply>) -> Response<Reply> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(Bytes::from_static(text.as_bytes()), None));
     *response.status_mut() = status;
     response
 }
 
-fn refused(stay_away: Option<Duration>) -> Response<Full<Bytes>> {
+fn refused(stay_away: Option<Duration>) -> Response<Reply> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     let value = stay_away.and_then(|d| HeaderValue::from_str(&format!("{:.3}", d.as_secs_f64())).ok());
     value.into_iter().for_each(|v| {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -40,6 +40,7 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// What a class of requests looks like on the wire.
@@ -67,6 +68,8 @@
     pub seed: u64,
     /// How many connections, of clients and to servers together, it may hold.
     pub sockets: usize,
+    /// How many bytes of memory it may hold.
+    pub memory: usize,
     /// The list of servers as it was last held.
     pub known: Update,
     /// What the decision module is told.
@@ -114,6 +117,7 @@
         Ok(Config {
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from(&file.name)),
             sockets: file.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(8),
+            memory: file.limits.memory_mb.unwrap_or(32).max(1) << 20,
             classes,
             tenants: (0..).zip(names(s, "parties")).map(|(index, name)| (name, index)).collect(),
             zones: strings(&s["zones"]),
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use cherryusher::{Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId};
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -16,15 +15,16 @@
 use tokio_util::time::DelayQueue;
 use tokio_util::time::delay_queue::Key;
 
-use crate::servers::{Outgoing, Servers};
+use crate::body::Reply;
+use crate::servers::{Attempted, Outgoing, Part, Servers};
 
 /// The longest sleep that timers take.
 const WAKE_MOST: Duration = Duration::from_secs(3600);
 
 /// The one final answer to a request.
 pub enum Answer {
-    /// The first whole 200 of a server.
-    Served(Response<Bytes>),
+    /// The first 200 of a server, whole or begun.
+    Served(Response<Reply>),
     /// Turned away; nothing ran, or a repeat is harmless. How long the client should stay away, if told.
     Refused(Option<Duration>),
     /// No promise; whether it was time that ran out.
@@ -43,7 +43,9 @@
     /// The client has closed its connection.
     Left(RequestId),
     /// An attempt is over.
-    Ended(RequestId, AttemptNo, Outcome, Option<Response<Bytes>>),
+    Ended(RequestId, AttemptNo, Outcome, Option<Response<Reply>>),
+    /// The answer to an attempt has begun, and passes through to the client.
+    Began(RequestId, AttemptNo, Response<Part>),
 }
 
 /// The way to the engine.
@@ -86,6 +88,8 @@
 
 struct Attempt {
     sent_at: Micros,
+    /// When its answer began to pass through: it is the client's from then on.
+    began_at: Option<Micros>,
     /// Gone once the module was told how it ended.
     task: Option<AbortHandle>,
 }
@@ -160,6 +164,7 @@
                     self.queue.push_back(Event::Left(id));
                 }
             }
+            Happening::Began(id, attempt, response) => self.began(id, attempt, response),
             Happening::Ended(id, attempt, outcome, response) => {
                 if let (Outcome::Served, Some(response)) = (outcome, response) {
                     self.answer(id, Answer::Served(response));
@@ -169,6 +174,21 @@
         }
     }
 
+    /// Passes an answer on that has begun; if another was first, this one is of no use.
+    fn began(&mut self, id: RequestId, number: AttemptNo, response: Response<Part>) {
+        let now = self.now();
+        let mailbox = self.mailbox.clone();
+        let ended = move |outcome| mailbox.send(Happening::Ended(id, number, outcome, None));
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(usize::from(number)) else { return };
+        if open.answer.is_none() || attempt.task.is_none() {
+            return ended(Outcome::Cancelled);
+        }
+        attempt.began_at = Some(now);
+        self.queue.push_back(Event::StreamBegan(id, number));
+        self.answer(id, Answer::Served(response.map(|part| part.reply(ended))));
+    }
+
     /// Tells the module of an attempt's end, once: what a cancelled task still reports is passed over.
     fn attempt_ended(&mut self, request: RequestId, attempt: AttemptNo, outcome: Outcome) {
         let now = self.now();
@@ -179,7 +199,9 @@
             task.abort();
         }
         open.timed_out |= outcome == Outcome::TimedOut;
-        let took = now.saturating_sub(ended.sent_at);
+        // The server's time: from the client's last byte, where that came later, to the answer's first.
+        let came = open.outgoing.came().map_or(now, |at| now - at.elapsed().as_micros() as Micros);
+        let took = ended.began_at.unwrap_or(now).saturating_sub(ended.sent_at.max(came));
         let finished = open.answer.is_none();
         self.queue.push_back(Event::AttemptEnded(Ended { request, attempt, outcome, took, finished }));
     }
@@ -213,7 +235,15 @@
                 let timed_out = self.open.get(&request).is_some_and(out);
                 self.answer(request, Answer::Failed { timed_out });
             }
-            Action::Cancel(request, attempt) => self.attempt_ended(request, attempt, Outcome::Cancelled),
+            Action::Cancel(request, attempt) => {
+                let began = |open: &Open| {
+                    open.attempts.get(usize::from(attempt)).is_some_and(|a| a.began_at.is_some())
+                };
+                // What has begun is the client's.
+                if !self.open.get(&request).is_some_and(began) {
+                    self.attempt_ended(request, attempt, Outcome::Cancelled);
+                }
+            }
             Action::Wake { after, token } => self.wake(after, token),
             Action::Subscribe => self.subscribe.notify_one(),
         }
@@ -250,13 +280,19 @@
         let (outgoing, answered) = (open.outgoing.clone(), open.answer.is_none());
         let task = tokio::task::spawn_local(async move {
             // Nothing is sent for a request after its answer.
-            let (outcome, response) = match answered {
-                true => (Outcome::NotSent, None),
+            let attempted = match answered {
+                true => Attempted::Failed(Outcome::NotSent),
                 false => servers.attempt(&outgoing, server).await,
             };
-            mailbox.send(Happening::Ended(request, number, outcome, response));
+            mailbox.send(match attempted {
+                Attempted::Failed(outcome) => Happening::Ended(request, number, outcome, None),
+                Attempted::Served(response) => {
+                    Happening::Ended(request, number, Outcome::Served, Some(response))
+                }
+                Attempted::Began(response) => Happening::Began(request, number, response),
+            });
         });
-        open.attempts.push(Attempt { sent_at, task: Some(task.abort_handle()) });
+        open.attempts.push(Attempt { sent_at, began_at: None, task: Some(task.abort_handle()) });
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -2,6 +2,7 @@
 //! on the servers' answers.
 #![deny(unsafe_code)]
 
+mod body;
 mod clients;
 mod config;
 mod discovery;
@@ -26,6 +27,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
+use crate::body::Room;
 use crate::clients::Clients;
 use crate::config::Config;
 use crate::engine::{Engine, Mailbox};
@@ -37,6 +39,8 @@
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
 /// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
 const STAY_MOST: Duration = Duration::from_millis(3400);
+/// For how long answers that have begun may still go to their clients.
+const TRANSFERS_MOST: Duration = Duration::from_secs(60);
 /// How often a node that waits for its first servers looks for them.
 const ABLE_LOOK: Duration = Duration::from_millis(10);
 /// What comes on top of the longest deadline, and what the last answers may take.
@@ -60,7 +64,8 @@
     };
     eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
     let (mailbox, inbox) = Mailbox::new(config.seed);
-    let (servers, subscribe) = (Rc::new(Servers::new(&config)), Rc::new(Notify::new()));
+    let room = Room::new(config.memory);
+    let (servers, subscribe) = (Rc::new(Servers::new(&config, room.clone())), Rc::new(Notify::new()));
     let balancer = Balancer::new(config.settings.clone(), config.seed)?;
     let engine = Engine::new(balancer, servers.clone(), mailbox.clone(), subscribe.clone());
     spawn_local(engine.run(inbox));
@@ -69,7 +74,7 @@
     let (moved, address) = watch::channel(config.discovery);
     spawn_local(reread(path, hang_up, moved));
     spawn_local(discovery::follow(config.clone(), address, servers.clone(), mailbox.clone(), subscribe));
-    let clients = Rc::new(Clients::new(config.clone(), mailbox.clone(), servers.clone()));
+    let clients = Rc::new(Clients::new(config.clone(), mailbox.clone(), servers.clone(), room));
     if let Some(listener) = operators {
         eprintln!("dunelink: {} hears operators on {}", config.name, listener.local_addr()?);
         let shared = Shared::open(&std::env::temp_dir(), &config.name);
@@ -107,7 +112,8 @@
     let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
     if timeout(wait, clients.close()).await.is_err() {
         clients.last_call();
-        let _ = timeout(LAST_ANSWERS, clients.close()).await;
+        // What still passes through to a client is not cut off; the platform ends the process in time.
+        let _ = timeout(TRANSFERS_MOST, clients.close()).await;
     }
     Ok(())
 }
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -12,8 +12,7 @@
 
 use bytes::Bytes;
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -21,15 +20,14 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::body::{Beginning, Download, End, Payload, Progress, Reply, Room, Upload};
 use crate::config::Config;
 use crate::socket::{Line, Place, ServerSocket};
 use crate::trust::Trust;
 
-/// The most that a body may hold, in either direction.
-pub const BODY_MOST: usize = 64 * 1024;
 /// What a connection may buffer; it bounds headers too.
 pub const BUFFER_MOST: usize = 32 * 1024;
 /// The headers of the protocol that the node reads or writes itself.
@@ -42,8 +40,11 @@
 /// How long an idle connection rests before it is used again: what a server sends behind an answer comes right
 /// behind it, and must have come before the next request goes out.
 const REST: Duration = Duration::from_millis(5);
-/// An answer that has begun to come is whole after this, or will never be.
-const WHOLE_WITHIN: Duration = Duration::from_millis(300);
+/// An answer that has begun to come goes on within this, or is stuck.
+const GOES_ON_WITHIN: Duration = Duration::from_millis(300);
+/// How often it is looked whether a server still takes the body that is sent to it, and for how long it may not.
+const UPLOAD_LOOK: Duration = Duration::from_millis(100);
+const UPLOAD_GOES_ON_WITHIN: Duration = Duration::from_secs(1);
 /// The most hints (1xx) ahead of an answer.
 const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
@@ -58,17 +59,55 @@
     pub target: PathAndQuery,
     /// All headers but the deadline.
     pub headers: HeaderMap,
-    pub body: Bytes,
-    /// When no answer is of use any more.
-    pub deadline: Instant,
+    pub upload: Upload,
+    /// How long the client waits, from when its last byte has come.
+    pub patience: Duration,
+    /// When that was, for what is held whole.
+    pub came: Instant,
     /// Whether it must never run twice.
     pub once: bool,
 }
 
 impl Outgoing {
-    fn request(&self) -> Option<Request<Full<Bytes>>> {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// When the client's last byte has come, if it has.
+    pub fn came(&self) -> Option<Instant> {
+        match &self.upload {
+            Upload::Whole { .. } => Some(self.came),
+            Upload::Streamed(stream) => match stream.progress() {
+                Progress::Whole(at) => Some(at),
+                Progress::Kept | Progress::PassedOn | Progress::Failed(_) => None,
+            },
+        }
+    }
+
+    /// Returns when no answer is of use any more, or the server takes no more of the body.
+    async fn expired(&self) {
+        loop {
+            if let Some(came) = self.came() {
+                return sleep_until(came + self.patience).await;
+            }
+            if let Upload::Streamed(stream) = &self.upload
+                && matches!(stream.progress(), Progress::PassedOn)
+                && stream.unasked() >= self.patience.max(UPLOAD_GOES_ON_WITHIN)
+            {
+                return;
+            }
+            sleep(UPLOAD_LOOK).await;
+        }
+    }
+
+    /// Whether the request's last byte may have been written, after so many of its bytes.
+    fn may_be_written(&self, head: u64, written: u64) -> bool {
+        match self.upload.length() {
+            Some(body) => written >= head + body,
+            None => self.came().is_some(),
+        }
+    }
+
+    fn request(&self) -> Option<Request<Payload>> {
+        let spent = self.came().map_or(Duration::ZERO, |came| came.elapsed());
+        let left = self.patience.saturating_sub(spent).as_secs_f64();
+        let mut request = Request::new(Payload::from(&self.upload));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone().into();
         *request.headers_mut() = self.headers.clone();
@@ -77,18 +116,18 @@
     }
 }
 
-/// How many bytes a request is on the socket, as hyper writes it when every header is given.
-fn length(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+/// How many bytes a request's head is on the socket, as hyper writes it when every header is given.
+fn head_length(request: &Request<Payload>) -> u64 {
     let first =
         request.method().as_str().len() + request.uri().path_and_query().map_or(1, |p| p.as_str().len());
     let headers: usize =
         request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    (first + " HTTP/1.1\r\n".len() + 1 + headers + 2 + body) as u64
+    (first + " HTTP/1.1\r\n".len() + 1 + headers + 2) as u64
 }
 
 /// A connection to a server; dropping it closes it.
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     line: Rc<Line>,
     /// Of which run of its server.
     run: Run,
@@ -142,10 +181,48 @@
     connect_timeout: Duration,
     idle_most: Duration,
     trust: Trust,
+    room: Rc<Room>,
+}
+
+/// What became of an attempt.
+pub enum Attempted {
+    Failed(Outcome),
+    /// A whole 200.
+    Served(Response<Reply>),
+    /// A 200 of which the first piece is there, and the rest to come.
+    Began(Response<Part>),
+}
+
+/// The rest of an answer that has begun.
+pub struct Part {
+    first: Bytes,
+    rest: Incoming,
+    servers: Rc<Servers>,
+    server: ServerId,
+    connection: Connection,
+    /// Whether the connection can be used again.
+    stays: bool,
+}
+
+impl Part {
+    /// What the client is given. `told` hears how it ended.
+    pub fn reply(self, told: impl FnOnce(Outcome) + 'static) -> Reply {
+        let Part { first, rest, servers, server, connection, stays } = self;
+        Reply::part(Download::new(first, rest, move |end| match end {
+            End::Whole => {
+                if stays {
+                    tokio::task::spawn_local(async move { servers.keep(server, connection).await });
+                }
+                told(Outcome::Served);
+            }
+            End::Broken => told(Outcome::Reset),
+            End::Left => told(Outcome::Cancelled),
+        }))
+    }
 }
 
 impl Servers {
-    pub fn new(config: &Config) -> Servers {
+    pub fn new(config: &Config, room: Rc<Room>) -> Servers {
         Servers {
             members: RefCell::default(),
             named: RefCell::default(),
@@ -156,6 +233,7 @@
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
             idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
             trust: Trust::new(),
+            room,
         }
     }
 
@@ -254,7 +332,7 @@
     /// Keeps a connection for the next attempt, if the server still takes any.
     async fn keep(&self, server: ServerId, mut connection: Connection) {
         // hyper says it is ready once it has found nothing behind the answer that it has read.
-        if !matches!(timeout(WHOLE_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
+        if !matches!(timeout(GOES_ON_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
@@ -332,17 +410,16 @@
     }
 
     /// One attempt, to its end.
-    pub async fn attempt(
-        self: &Rc<Self>,
-        outgoing: &Outgoing,
-        server: ServerId,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+    pub async fn attempt(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId) -> Attempted {
         let begun = Cell::new(false);
-        match timeout_at(outgoing.deadline, self.send(outgoing, server, &begun)).await {
-            Ok(ended) => ended,
-            Err(_) if begun.get() => (Outcome::TimedOut, None),
-            Err(_) => (Outcome::NotSent, None),
-        }
+        let ended = tokio::select! {
+            biased;
+            ended = self.send(outgoing, server, &begun) => ended,
+            () = outgoing.expired() => {
+                Err(if begun.get() { Outcome::TimedOut } else { Outcome::NotSent })
+            }
+        };
+        ended.unwrap_or_else(Attempted::Failed)
     }
 
     /// Sends the request on an idle connection or a new one; `begun` is set once it may be on the socket.
@@ -351,33 +428,34 @@
         outgoing: &Outgoing,
         server: ServerId,
         begun: &Cell<bool>,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+    ) -> Result<Attempted, Outcome> {
         loop {
+            // What has begun to go to another server is kept no longer.
+            if !outgoing.upload.is_kept() {
+                return Err(Outcome::NotSent);
+            }
             let (mut connection, idle) = match self.take_idle(server, outgoing.once) {
                 Some(connection) => {
                     let idle = connection.idle_since.elapsed();
                     (connection, Some(idle))
                 }
                 None => {
-                    let Some(there) = self.whereabouts(server) else { return (Outcome::NotSent, None) };
-                    match self.connect(there).await {
-                        Ok(connection) => (connection, None),
-                        Err(outcome) => return (outcome, None),
-                    }
+                    let there = self.whereabouts(server).ok_or(Outcome::NotSent)?;
+                    (self.connect(there).await?, None)
                 }
             };
             // A drain may have been heard of while the connection came up.
             if self.whereabouts(server) != Some(connection.run) {
-                return (Outcome::NotSent, None);
+                return Err(Outcome::NotSent);
             }
-            let Some(mut request) = outgoing.request() else { return (Outcome::NotSent, None) };
+            let mut request = outgoing.request().ok_or(Outcome::NotSent)?;
             let hints = Arc::new(AtomicUsize::new(0));
             let heard_hint = hints.clone();
             on_informational(&mut request, move |_| {
                 heard_hint.fetch_add(1, Ordering::Relaxed);
             });
             let line = connection.line.clone();
-            let (before, whole) = (line.written(), length(&request, outgoing.body.len()));
+            let (before, head) = (line.written(), head_length(&request));
             begun.set(true);
             let _unanswered = Unanswered { servers: self, server, sent: Instant::now() };
             line.forget_what_came();
@@ -386,7 +464,7 @@
                 biased;
                 answered = connection.sender.send_request(request) => answered,
                 // What has come is no answer, nor will be one.
-                () = stuck.as_mut() => return (Outcome::Reset, None),
+                () = stuck.as_mut() => return Err(Outcome::Reset),
             };
             let written = line.written() - before;
             let response = match answered {
@@ -401,60 +479,74 @@
                     continue;
                 }
                 // A server begins a request when its last byte has come.
-                Err(_) if written < whole => return (Outcome::ConnectFailed, None),
+                Err(_) if !outgoing.may_be_written(head, written) => return Err(Outcome::ConnectFailed),
                 Err(error) => {
                     // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
                     if !error.is_parse() {
                         self.trust.learn(idle, true);
                     }
-                    return (Outcome::Reset, None);
+                    return Err(Outcome::Reset);
                 }
             };
+            // What has not come whole has not run: a 200 to it is no answer.
+            if outgoing.came().is_none() && response.status() == StatusCode::OK {
+                return Err(Outcome::Reset);
+            }
             return tokio::select! {
                 biased;
                 finished = self.finish(server, connection, response) => finished,
-                () = stuck.as_mut() => (Outcome::Reset, None),
+                () = stuck.as_mut() => Err(Outcome::Reset),
             };
         }
     }
 
-    /// Reads an answer whole, and keeps the connection if it can be used again.
+    /// Reads an answer whole if it is small, and else its first piece; keeps the connection if it can be used
+    /// again.
     async fn finish(
         self: &Rc<Self>,
         server: ServerId,
         connection: Connection,
-        response: Response<hyper::body::Incoming>,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+        response: Response<Incoming>,
+    ) -> Result<Attempted, Outcome> {
         let (mut parts, body) = response.into_parts();
-        // Of an answer that ends with its connection, a part looks whole.
-        if !states_its_end(&parts.headers) || body.size_hint().lower() > BODY_MOST as u64 {
-            return (Outcome::Reset, None);
-        }
-        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Outcome::Reset, None) };
-        let body = body.to_bytes();
-        let servers = self.clone();
-        tokio::task::spawn_local(async move { servers.keep(server, connection).await });
+        let framing = Framing::of(&parts.headers).ok_or(Outcome::Reset)?;
+        let beginning = Beginning::read(body, &self.room).await.ok_or(Outcome::Reset)?;
         let declined = parts.headers.get(DECLINED).is_some_and(|v| v.as_bytes() == b"1");
-        match parts.status {
-            StatusCode::OK => {
-                drop_hop_headers(&mut parts.headers);
-                (Outcome::Served, Some(Response::from_parts(parts, body)))
+        let (stays, servers) = (framing == Framing::Stated, self.clone());
+        if parts.status == StatusCode::OK {
+            drop_hop_headers(&mut parts.headers);
+        }
+        match (parts.status, beginning) {
+            (StatusCode::OK, Beginning::Part(first, rest)) => {
+                let part = Part { first, rest, servers, server, connection, stays };
+                return Ok(Attempted::Began(Response::from_parts(parts, part)));
             }
+            (status, Beginning::Whole(bytes, held)) => {
+                if stays {
+                    tokio::task::spawn_local(async move { servers.keep(server, connection).await });
+                }
+                if status == StatusCode::OK {
+                    return Ok(Attempted::Served(Response::from_parts(parts, Reply::whole(bytes, held))));
+                }
+            }
+            (_, Beginning::Part(..)) => {}
+        }
+        match parts.status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
-                (Outcome::TurnedAway, None)
+                Err(Outcome::TurnedAway)
             }
-            _ => (Outcome::Error, None),
+            _ => Err(Outcome::Error),
         }
     }
 }
 
-/// Ends when an answer has begun to come and is not whole after some time. Hints (1xx) may come long before
-/// the answer, but not without end.
+/// Ends when an answer has begun to come and does not go on. Hints (1xx) may come long before the answer, but
+/// not without end.
 async fn stuck(line: &Line, hints: &AtomicUsize) {
     let mut before = 0;
     loop {
         line.something_came().await;
-        sleep(WHOLE_WITHIN).await;
+        while timeout(GOES_ON_WITHIN, line.something_came()).await.is_ok() {}
         let now = hints.load(Ordering::Relaxed);
         if now == before || now > HINTS_MOST {
             return;
@@ -463,13 +555,31 @@
     }
 }
 
-/// Whether an answer says where it ends, and in one way.
-fn states_its_end(headers: &HeaderMap) -> bool {
-    let encodings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
-    match (&encodings[..], headers.contains_key(header::CONTENT_LENGTH)) {
-        ([], length) => length,
-        ([one], length) => one.as_bytes().eq_ignore_ascii_case(b"chunked") && !length,
-        _ => false,
+/// How an answer says where it ends.
+#[derive(Clone, Copy, PartialEq)]
+enum Framing {
+    /// By its length or its last chunk.
+    Stated,
+    /// With its connection, as it says.
+    WithConnection,
+}
+
+impl Framing {
+    /// Nothing if it says so in two ways, or not at all: the part of such an answer would look whole.
+    fn of(headers: &HeaderMap) -> Option<Framing> {
+        let encodings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+        let closes = |value: &HeaderValue| {
+            value.to_str().is_ok_and(|v| v.split(',').any(|o| o.trim().eq_ignore_ascii_case("close")))
+        };
+        match (&encodings[..], headers.contains_key(header::CONTENT_LENGTH)) {
+            ([], true) => Some(Framing::Stated),
+            ([one], false) if one.as_bytes().eq_ignore_ascii_case(b"chunked") => Some(Framing::Stated),
+            ([], false) => {
+                let closes = headers.get_all(header::CONNECTION).iter().any(closes);
+                closes.then_some(Framing::WithConnection)
+            }
+            _ => None,
+        }
     }
 }
 
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -13,13 +13,15 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// For how long a client that still sends may read why it was turned down, before the connection is closed:
 /// to close on unread bytes resets the connection, and the answer may be lost with it.
 const LINGER: Duration = Duration::from_secs(1);
 /// How much of what it sends meanwhile is read.
-const LINGER_MOST: usize = 1 << 20;
+const LINGER_MOST: usize = 32 << 20;
+/// What the kernel may hold of an answer; it doubles this for its own book-keeping.
+const SEND_BUFFER: usize = 128 << 10;
 
 /// The header that must not stand beside `Transfer-Encoding`.
 const LENGTH: &[u8] = b"content-length:";
@@ -30,8 +32,8 @@
     /// How much of the current line has come, line ends aside, and whether it begins as [`LENGTH`] does.
     line: usize,
     alike: bool,
-    /// Whether its first line has begun: empty lines before it are skipped.
-    begun: bool,
+    /// When its first line has begun: empty lines before it are skipped.
+    begun: Option<Instant>,
     /// Lines that state a length.
     lengths: usize,
     /// Bytes behind the head.
@@ -42,7 +44,7 @@
 
 impl Passing {
     fn new(blurred: bool) -> Passing {
-        Passing { in_head: true, line: 0, alike: true, begun: false, lengths: 0, behind: 0, blurred }
+        Passing { in_head: true, line: 0, alike: true, begun: None, lengths: 0, behind: 0, blurred }
     }
 
     fn take(&mut self, bytes: &[u8]) {
@@ -54,11 +56,11 @@
             match byte {
                 b'\r' => {}
                 b'\n' => {
-                    self.in_head = self.line > 0 || !self.begun;
+                    self.in_head = self.line > 0 || self.begun.is_none();
                     (self.line, self.alike) = (0, true);
                 }
                 _ => {
-                    self.begun = true;
+                    self.begun.get_or_insert_with(Instant::now);
                     self.alike &= LENGTH.get(self.line).is_none_or(|b| b.eq_ignore_ascii_case(byte));
                     self.line += 1;
                     self.lengths += usize::from(self.alike && self.line == LENGTH.len());
@@ -73,12 +75,30 @@
     stream: RefCell<TcpStream>,
     passing: RefCell<Passing>,
     lingers: Cell<bool>,
+    blocked_since: Cell<Option<Instant>>,
 }
 
 impl Seen {
     /// Whether some of a request has come.
     pub fn has_begun(&self) -> bool {
-        self.passing.borrow().begun
+        self.passing.borrow().begun.is_some()
+    }
+
+    /// Since when a head has been coming.
+    pub fn head_since(&self) -> Option<Instant> {
+        let passing = self.passing.borrow();
+        passing.begun.filter(|_| passing.in_head)
+    }
+
+    /// Since when the client has taken nothing of what waits for it.
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get()
+    }
+
+    fn wrote(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let since = self.blocked_since.get().unwrap_or_else(Instant::now);
+        self.blocked_since.set(polled.is_pending().then_some(since));
+        polled
     }
 
     /// Whether the kernel holds nothing of a request that is still to be read.
@@ -114,8 +134,11 @@
 
 impl ClientSocket {
     pub fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
+        // A slow reader is seen to read only as the kernel's buffer empties, and that grows to megabytes.
+        let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         let (stream, passing) = (RefCell::new(stream), RefCell::new(Passing::new(false)));
-        let seen = Rc::new(Seen { stream, passing, lingers: Cell::new(false) });
+        let seen =
+            Rc::new(Seen { stream, passing, lingers: Cell::new(false), blocked_since: Cell::new(None) });
         (ClientSocket { seen: seen.clone(), lingering: None }, seen)
     }
 }
@@ -131,7 +154,8 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write(cx, buf)
+        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write(cx, buf);
+        self.seen.wrote(polled)
     }
 
     fn poll_write_vectored(
@@ -139,7 +163,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.seen.wrote(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,8 @@
     pub(crate) to: ServerEntry,
     pub(crate) sent_at: Micros,
     pub(crate) fate: Fate,
+    /// Whether its server has the whole request and has not begun to answer, as far as is known.
+    pub(crate) working: bool,
 }
 
 /// What the order of held requests goes by.
@@ -174,6 +176,8 @@
     pub(crate) place_until: Micros,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) held: bool,
+    /// Its body is gone.
+    pub(crate) passed_on: bool,
     pub(crate) done: bool,
     pub(crate) wake_at: Micros,
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod operating;
 mod peers;
+mod size;
 
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
@@ -43,7 +44,7 @@
         let lines = text.split_inclusive("\r\n").filter(|line| !line.starts_with(header));
         lines.collect::<String>().into_bytes()
     };
-    let large = "x".repeat(64 * 1024 + 1);
+    let large = "x".repeat((32 << 20) + 1);
     let bad = [
         ("malformed", b"NOT HTTP\r\n\r\n".to_vec()),
         ("no id", without(view(), "Req-Id")),
@@ -117,8 +118,8 @@
     let text = String::from_utf8(order()).unwrap();
     let plain = text.replace("Content-Length: 3", "Content-Length: 60000000");
     let chunks =
-        text.replace("Content-Length: 3", "Transfer-Encoding: chunked").replace("\r\nyen", "\r\n800000\r\n");
-    for (head, most) in [(plain.replace("\r\nyen", "\r\n"), 600_000), (chunks, 600_000)] {
+        text.replace("Content-Length: 3", "Transfer-Encoding: chunked").replace("\r\nyen", "\r\n4000000\r\n");
+    for (head, most) in [(plain.replace("\r\nyen", "\r\n"), 600_000), (chunks, 34_000_000)] {
         let mut client = node.client();
         // It sends on although the answer is there.
         client.stream.write_all(head.as_bytes()).unwrap();
@@ -197,7 +198,7 @@
         Act::Say(answer(500, "", "")),
         // Only a server that says so has not run it.
         Act::Say(answer(503, "", "")),
-        Act::Say(answer(200, "", &"x".repeat(64 * 1024 + 1))),
+        Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 40000000\r\n\r\nxxx".to_vec()),
     ];
     for act in acts {
         let server = Server::new(move |_, _| act.clone());
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -48,11 +48,34 @@
             headers.push((name.to_string(), value.trim().to_string()));
         }
         let mut message = Message { first, headers, body: Vec::new() };
-        let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
-        message.body.resize(length, 0);
-        from.read_exact(&mut message.body).ok()?;
+        if message.header("transfer-encoding") == Some("chunked") {
+            return message.read_chunks(from);
+        }
+        let length = message.header("content-length").and_then(|n| n.parse().ok());
+        if let Some(length) = length {
+            message.body.resize(length, 0);
+            from.read_exact(&mut message.body).ok()?;
+        } else if message.header("connection") == Some("close") && message.first.starts_with("HTTP/") {
+            from.read_to_end(&mut message.body).ok()?;
+        }
         Some(message)
     }
+
+    fn read_chunks(mut self, from: &mut impl BufRead) -> Option<Message> {
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok()?;
+            let length = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+            let start = self.body.len();
+            self.body.resize(start + length, 0);
+            from.read_exact(&mut self.body[start..]).ok()?;
+            line.clear();
+            from.read_line(&mut line).ok()?;
+            if length == 0 {
+                return Some(self);
+            }
+        }
+    }
 }
 
 /// What a server does about a request.
@@ -64,6 +87,8 @@
     SayAndClose(Vec<u8>),
     /// Writes some bytes, and after a while others.
     SayMore(Vec<u8>, Duration, Vec<u8>),
+    /// Writes these one after the other, with a pause between any two.
+    SayInPieces(Vec<Vec<u8>>, Duration),
     /// Says nothing.
     Wait,
 }
@@ -126,6 +151,12 @@
                                 thread::sleep(later);
                                 drop(stream.write_all(&more));
                             }
+                            Act::SayInPieces(pieces, pause) => {
+                                for piece in pieces {
+                                    drop(stream.write_all(&piece));
+                                    thread::sleep(pause);
+                                }
+                            }
                             Act::Wait => {}
                         }
                     }
@@ -312,6 +343,13 @@
         Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
     }
 
+    /// The most memory that it has held, in bytes.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
@@ -393,7 +431,11 @@
 
 impl Client {
     pub fn to(address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).unwrap();
+        Client::on(TcpStream::connect(address).unwrap())
+    }
+
+    /// One end of a connection, whoever opened it.
+    pub fn on(stream: TcpStream) -> Client {
         stream.set_read_timeout(Some(WITHIN)).unwrap();
         Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
     }
@@ -403,6 +445,11 @@
         let _ = self.stream.write_all(bytes);
     }
 
+    /// The rest of an answer as far as it comes, and whether it was whole.
+    pub fn whole_answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
     pub fn answer(&mut self) -> Message {
         Message::read(&mut self.reader).expect("an answer")
     }
@@ -412,6 +459,14 @@
         matches!(self.reader.read(&mut [0]), Ok(0))
     }
 
+    /// Whether something has come and not been read.
+    pub fn has_something(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let came = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_nonblocking(false).unwrap();
+        came
+    }
+
     /// Whether the node has closed the connection, with whatever it said before.
     pub fn reader_ends(&mut self) -> bool {
         match self.reader.read_to_end(&mut Vec::new()) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -20,6 +20,8 @@
     give_up_at: Micros,
     closed: bool,
     sent: Vec<Sent>,
+    /// Whether its body is gone.
+    passed_on: bool,
 }
 
 /// A world that draws what happens next, and judges every action.
@@ -88,6 +90,7 @@
             Action::Send { request, server } => {
                 let asked = self.asked.get_mut(&request).expect("a request that was asked");
                 assert!(!asked.closed, "sent after its end");
+                assert!(!asked.passed_on, "sent without its body");
                 let to = self.told[&server];
                 assert_eq!(to.state, ServerState::Ready, "sent to a server that drains or is gone");
                 assert!(!self.out.contains(&server), "sent to a server that was taken out");
@@ -154,7 +157,13 @@
         let id = self.node.next;
         let (class, remaining) = (self.dice.usize(..4), self.dice.u64(20 * MS..S));
         let tenant = self.dice.bool().then(|| self.dice.u32(..6));
-        let asked = Asked { class, give_up_at: self.node.now + remaining, closed: false, sent: Vec::new() };
+        let asked = Asked {
+            class,
+            give_up_at: self.node.now + remaining,
+            closed: false,
+            sent: Vec::new(),
+            passed_on: false,
+        };
         self.asked.insert(id, asked);
         let request = Request { id, class, remaining, expected_work: None, key: Some(id % 7), tenant };
         self.tell(Event::Arrived(request));
@@ -211,6 +220,26 @@
         }
     }
 
+    /// Lets the body or the answer of a request with one attempt out pass through.
+    fn stream(&mut self) {
+        let one =
+            |(_, a): &(&RequestId, &Asked)| !a.closed && a.sent.len() == 1 && a.sent[0].outcome.is_none();
+        let open: Vec<RequestId> = self.asked.iter().filter(one).map(|(id, _)| *id).collect();
+        let Some(&id) = self.dice.choice(&open) else { return };
+        let asked = self.asked.get_mut(&id).unwrap();
+        if !asked.passed_on {
+            asked.passed_on = true;
+            asked.give_up_at = Micros::MAX;
+            self.tell(Event::BodyPassedOn(id));
+            if self.dice.bool() {
+                self.tell(Event::BodyWhole(id));
+            }
+        } else {
+            asked.closed = true;
+            self.tell(Event::StreamBegan(id, 0));
+        }
+    }
+
     /// Takes a server out or puts it back, perhaps one that no list names.
     fn order(&mut self) {
         let id = self.dice.u64(1..18);
@@ -239,6 +268,7 @@
                     world.tell(Event::Left(id));
                 }
                 91..93 => world.order(),
+                93..95 => world.stream(),
                 _ => {
                     let until = world.node.now + world.dice.u64(..40 * MS);
                     world.pass(until);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -818,3 +818,50 @@
     let again = node.end(late, 0, Outcome::Reset, 200 * MS);
     assert_eq!(sends(&again, late), [failing]);
 }
+
+#[test]
+fn a_body_that_was_passed_on_goes_nowhere_else() {
+    for outcome in [Outcome::Reset, Outcome::TurnedAway, Outcome::TimedOut] {
+        let mut node = Node::new(settings(), servers(1..11));
+        let (id, _) = node.arrive(BY_ALL, Some(0));
+        assert_eq!(node.tell(Event::BodyPassedOn(id)), []);
+        // It takes its time, and the request is not given up for that; nor can it be copied.
+        assert_eq!(node.wake(id, 290 * MS), []);
+        assert_eq!(node.wake(id, 10 * S), []);
+        node.tell(Event::BodyWhole(id));
+        let over = node.end(id, 0, outcome, 100 * MS);
+        assert!(sends(&over, id).is_empty() && refused(&over, id), "{outcome:?}: {over:?}");
+        assert_eq!(node.balancer.requests_kept(), 0);
+    }
+}
+
+#[test]
+fn a_server_is_loaded_from_the_last_byte_of_a_request_to_the_first_of_its_answer() {
+    let mut node = Node::new(settings(), servers(1..2));
+    // Bodies on their way do not fill the server.
+    let uploads: Vec<RequestId> = (0..50)
+        .map(|_| {
+            let (id, actions) = node.arrive(UNSAFE, Some(0));
+            assert_eq!(sends(&actions, id), [1]);
+            node.tell(Event::BodyPassedOn(id));
+            id
+        })
+        .collect();
+    // Those that are whole do, until they are answered.
+    let (whole, never) = uploads.split_at(20);
+    whole.iter().for_each(|id| drop(node.tell(Event::BodyWhole(*id))));
+    let (held, actions) = node.arrive(UNSAFE, Some(0));
+    assert_eq!(sends(&actions, held), [], "it is full");
+    node.now += 20 * MS;
+    let began: Vec<Action> = whole.iter().flat_map(|id| node.tell(Event::StreamBegan(*id, 0))).collect();
+    assert_eq!(sends(&began, held), [1], "it has room again");
+    node.end(held, 0, Outcome::Served, 20 * MS);
+    // How long the clients then take does not make the server slow, nor does one that leaves.
+    node.now += 60 * S;
+    for id in whole {
+        node.end(*id, 0, if id % 2 == 0 { Outcome::Served } else { Outcome::Cancelled }, 60 * S);
+    }
+    never.iter().for_each(|id| drop(node.end(*id, 0, Outcome::Cancelled, 60 * S)));
+    let (id, actions) = node.arrive(UNSAFE, Some(0));
+    assert_eq!(sends(&actions, id), [1]);
+}
