--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -191,6 +191,20 @@
     }
 }
 
+/// The next connection to a listener.
+pub fn accepted(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let began = Instant::now();
+    loop {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            return stream;
+        }
+        assert!(began.elapsed() < WITHIN, "nobody connects");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// An address that refuses connections.
 pub fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -214,7 +228,7 @@
 
 impl Watch {
     pub fn accept(listener: &TcpListener) -> Watch {
-        let (mut stream, _) = listener.accept().unwrap();
+        let mut stream = accepted(listener);
         let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
         Watch { request, stream }
--- a/tests/node/size.rs
+++ b/tests/node/size.rs
@@ -116,7 +116,7 @@
     let node = Node::new(&[target("a", listener.local_addr().unwrap(), 1, "ready")]);
     let mut client = node.client();
     client.send(&head("POST", "/order/1", &format!("Content-Length: {MOST}\r\n")));
-    let stream = listener.accept().unwrap();
+    let stream = accepted(&listener);
     let sent = sent_until_blocked(&mut client, MOST);
     assert!(sent < MOST / 2, "{sent} bytes were taken for a server that reads none");
     drop(stream);
@@ -125,8 +125,7 @@
     let node = Node::new(&[target("a", server.local_addr().unwrap(), 1, "ready")]);
     let mut client = node.client();
     client.send(&order());
-    let (stream, _) = server.accept().unwrap();
-    let mut stream = Client::on(stream);
+    let mut stream = Client::on(accepted(&server));
     stream.stream.read_exact(&mut [0; 100]).unwrap();
     stream.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {MOST}\r\n\r\n").as_bytes());
     let sent = sent_until_blocked(&mut stream, MOST);
@@ -222,7 +221,7 @@
     let node = Node::new(&[target("a", listener.local_addr().unwrap(), 1, "ready")]);
     let mut client = node.client();
     client.send(&order());
-    let (mut stream, _) = listener.accept().unwrap();
+    let mut stream = accepted(&listener);
     stream.peek(&mut [0]).unwrap();
     stream.write_all(format!("{head}sl").as_bytes()).unwrap();
     // Closed on what it has not read, a connection is reset.
@@ -314,7 +313,9 @@
     let mut readers: Vec<Client> = (0..12).map(|_| node.client()).collect();
     for reader in &mut readers {
         reader.send(&request("GET", "/view/large", "14", "", ""));
-        reader.stream.read_exact(&mut [0; 15]).unwrap();
+        let mut first = [0; 15];
+        reader.stream.read_exact(&mut first).unwrap();
+        assert_eq!(&first, b"HTTP/1.1 200 OK");
     }
     for _ in 0..20 {
         assert_eq!(node.client().ask(&view()).status(), 200);
