Keep two processes of a node within one node's descriptors, and only while both may run

Found while testing: a third of the descriptors held for requests, the rest idle, two processes held 204 of 160 (181 to 204 without sharing at all). config.rs set the spare ones aside once for both, and clients.rs closed no idle connection when its budget shrank. operator.rs took a successor for alive for ever, so that one that failed would have left the old process with half. The test fails without the sharing.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -292,8 +292,9 @@
 
     /// Makes do with half of the descriptors while another process of the node runs, or no longer.
     pub fn share_sockets(&self, shared: bool) {
-        self.sockets.set(if shared { self.config.sockets / 2 } else { self.config.sockets });
+        self.sockets.set(if shared { self.config.shared_sockets } else { self.config.sockets });
         self.servers.limit(self.sockets.get() / 3);
+        while self.connections.borrow().len() - self.closing.get() > self.most() && self.make_room() {}
     }
 
     /// The most connections; the servers' side has the rest. A client's is taken while its request is held,
@@ -329,13 +330,12 @@
         }
     }
 
-    /// Ends the connection that has been idle for longest, if one can be.
-    fn make_room(&self) {
+    /// Ends the connection that has been idle for longest; tells whether there was one.
+    fn make_room(&self) -> bool {
         let connections = self.connections.borrow();
         let idle = connections.values().filter_map(|c| Some((c.spare_since()?, c)));
-        if let Some((_, connection)) = idle.min_by_key(|(since, _)| *since) {
-            self.end(connection);
-        }
+        let oldest = idle.min_by_key(|(since, _)| *since);
+        oldest.inspect(|(_, connection)| self.end(connection)).is_some()
     }
 
     async fn serve(self: &Rc<Self>, connection: &Rc<Connection>, socket: ClientSocket) {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -68,6 +68,8 @@
     pub seed: u64,
     /// How many connections, of clients and to servers together, it may hold.
     pub sockets: usize,
+    /// The same while two processes of the node run: each needs others besides.
+    pub shared_sockets: usize,
     /// How many bytes of memory it may hold.
     pub memory: usize,
     /// The list of servers as it was last held.
@@ -96,6 +98,7 @@
         let settings = parse_settings(lines.as_bytes())?;
         settings.check()?;
         let s = &file.settings;
+        let sockets = file.limits.sockets.unwrap_or(1024);
         let operator = match (file.operator, std::env::var("GW_OPERATOR")) {
             (None, Ok(address)) => Some(address.parse().map_err(|error| format!("GW_OPERATOR: {error}"))?),
             (told, _) => told,
@@ -116,7 +119,8 @@
         let allowed = |key: &str, absent: u64| s["allowed"][key].as_f64().map_or(absent, |us| us as u64);
         Ok(Config {
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from(&file.name)),
-            sockets: file.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(8),
+            sockets: sockets.saturating_sub(SPARE_SOCKETS).max(8),
+            shared_sockets: (sockets / 2).saturating_sub(SPARE_SOCKETS).max(8),
             memory: file.limits.memory_mb.unwrap_or(32).max(1) << 20,
             classes,
             tenants: (0..).zip(names(s, "parties")).map(|(index, name)| (name, index)).collect(),
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -19,7 +19,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::clients::Clients;
@@ -41,7 +41,7 @@
 const FOLLOW_EVERY: Duration = Duration::from_millis(50);
 /// A yes waits until the other process of the node, if there is one, has followed too.
 const FOLLOWED_BY_ALL: Duration = Duration::from_millis(120);
-/// A predecessor has left by now: the platform ends it.
+/// One of two processes has left by now: the platform ends the older one, or the younger one has failed.
 const ALONE_AFTER: Duration = Duration::from_secs(11);
 /// How long to wait for descriptors.
 const NO_SOCKETS: Duration = Duration::from_millis(10);
@@ -119,12 +119,14 @@
         if let Err(error) = self.shared.change(|orders| own = starts(orders)).await {
             eprintln!("dunelink: the shared state cannot be written: {error}");
         }
-        let began = tokio::time::Instant::now();
+        let (mut last, mut since) = (own, Instant::now());
         loop {
-            // Two processes are one node, with one node's descriptors.
-            let orders = self.shared.orders();
-            let predecessor = own > 1 && began.elapsed() < ALONE_AFTER;
-            self.clients.share_sockets(orders.starts > own || predecessor);
+            // Two processes are one node, with one node's descriptors, until the first of them has left.
+            let started = self.shared.orders().starts;
+            if started != last {
+                (last, since) = (started, Instant::now());
+            }
+            self.clients.share_sockets(last > 1 && since.elapsed() < ALONE_AFTER);
             sleep(FOLLOW_EVERY).await;
             if self.shared.read() {
                 self.carry_out();
--- a/tests/node/operating.rs
+++ b/tests/node/operating.rs
@@ -350,3 +350,23 @@
     }
     assert_eq!((old.health(), old.client().ask(&view()).status()), (200, 200));
 }
+
+#[test]
+fn two_processes_make_do_with_the_descriptors_of_one() {
+    const SOCKETS: usize = 160;
+    let server = Server::new(|_, _| Act::Wait);
+    let (listener, folder) = (TcpListener::bind("127.0.0.1:0").unwrap(), folder());
+    let old = Node::passed_with(&[ready("a", &server)], &listener, &folder, SOCKETS);
+    // Clients hold a third of the descriptors for requests, and many more for nothing.
+    let mut busy: Vec<Client> = (0..SOCKETS / 3).map(|_| old.client()).collect();
+    busy.iter_mut().for_each(|client| client.send(&request("POST", "/order/1", "14", "", "yen")));
+    let new = Node::passed_with(&[ready("a", &server)], &listener, &folder, SOCKETS);
+    until("the successor can serve", || new.call("GET", "/status", "").status() == 200);
+    let mut idle: Vec<Client> = (0..100).map(|_| old.client()).collect();
+    for _ in 0..20 {
+        let both = old.descriptors() + new.descriptors();
+        assert!(both <= SOCKETS, "{both} descriptors of {SOCKETS}");
+        idle.iter_mut().filter(|client| client.has_something()).for_each(|client| *client = old.client());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -282,9 +282,13 @@
 
     /// A process of a node that is passed its listening socket.
     pub fn passed(targets: &[Value], listener: &TcpListener, folder: &Path) -> Node {
+        Node::passed_with(targets, listener, folder, 1024)
+    }
+
+    pub fn passed_with(targets: &[Value], listener: &TcpListener, folder: &Path, sockets: usize) -> Node {
         let mut command = passing(listener);
         command.env("TMPDIR", folder);
-        let mut node = Node::run(command, targets, 1024, true);
+        let mut node = Node::run(command, targets, sockets, true);
         node.address = listener.local_addr().unwrap();
         node
     }
@@ -357,6 +361,11 @@
         Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// The most memory that it has held, in bytes.
     pub fn memory(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
