--- a/tests/node/operating.rs
+++ b/tests/node/operating.rs
@@ -164,6 +164,7 @@
     assert_eq!((kept.ask(&view()).status(), idle.ask(&view()).status()), (200, 200));
     assert_eq!(node.call("POST", "/active", "").status(), 200, "it serves already");
     assert_eq!(node.call("POST", "/standby", "").status(), 200);
+    let emptying = Instant::now();
     assert_eq!(node.health(), 503);
     assert_eq!(
         (node.call("GET", "/status", "").status(), shown(&node)["phase"].as_str()),
@@ -176,6 +177,8 @@
         assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     }
     assert!(idle.ended() && kept.ended() && late.ended());
+    // Anyone idle is ended after 2.5 s in any case; here the front's patience is 4 s, with the latest requests.
+    assert!(emptying.elapsed() < Duration::from_millis(1800), "{:?}", emptying.elapsed());
     assert_eq!(busy.answer().body, b"slip");
     assert!(busy.ended());
     assert_eq!(node.call("POST", "/active", "").status(), 200);
@@ -370,3 +373,24 @@
         std::thread::sleep(Duration::from_millis(50));
     }
 }
+
+#[test]
+fn a_node_serves_from_the_list_it_knows_while_discovery_has_no_room() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::operated(&[ready("a", &server)], 1024, &folder());
+    assert_eq!((node.health(), node.call("GET", "/status", "").status()), (200, 200));
+    // Each call is turned away; those of many nodes must neither follow at once nor keep a common beat.
+    let (began, mut calls) = (Instant::now(), Vec::new());
+    while calls.len() < 6 {
+        drop(accepted(&node.discovery));
+        calls.push(began.elapsed());
+        assert_eq!(node.client().ask(&view()).status(), 200);
+    }
+    let waits: Vec<Duration> = calls.windows(2).map(|two| two[1] - two[0]).collect();
+    assert!(waits.iter().all(|wait| *wait >= Duration::from_millis(140)), "{waits:?}");
+    assert!(waits[4] > Duration::from_millis(550), "they grow: {waits:?}");
+    let beat = waits[3].abs_diff(waits[4]);
+    assert!(beat > Duration::from_millis(2), "they vary: {waits:?}");
+    let connections = (0..server.count()).map(|_| server.request().0).max();
+    assert!(connections < Some(3), "one request at a time needs no more connections: {connections:?}");
+}
