Test what leaving, returns and orders given at once rely on

Each fails with its part taken out: the listener left at SIGTERM, room made for callers, the run a connection belongs to, the state read again under its lock. The first two did not before and were mended.

--- a/tests/node/operating.rs
+++ b/tests/node/operating.rs
@@ -91,6 +91,7 @@
         // An idle machine takes a thousandth of this; a second is what is promised.
         assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
     }
+    assert!(node.descriptors() <= 64, "{} descriptors", node.descriptors());
     assert!(stalled.iter_mut().all(|caller| caller.reader_ends()), "they are not waited for");
     assert_eq!(shown(&node)["phase"], "serving");
 }
@@ -151,6 +152,40 @@
     assert_eq!(servers[2].count(), before + 1);
 }
 
+#[test]
+fn a_connection_from_before_a_return_is_not_used_after_it() {
+    let server = Server::new(|count, _| match count {
+        0 => Act::SayMore(Vec::new(), Duration::from_millis(1000), answer(200, "", "slip")),
+        _ => ok("slip"),
+    });
+    let node = Node::operated(&[ready("a", &server)], 1024, &folder());
+    let mut busy = node.client();
+    busy.send(&order());
+    assert_eq!(server.request().0, 0);
+    assert_eq!((node.maintain("enter", "a"), node.maintain("exit", "a")), (200, 200));
+    assert_eq!(busy.answer().body, b"slip", "it is answered after the return");
+    assert_eq!(server.ended(), 0);
+    until("it is used again", || node.client().ask(&view()).status() == 200);
+    assert_eq!(server.request().0, 1);
+}
+
+#[test]
+fn orders_given_to_both_processes_at_once_all_hold() {
+    let server = Server::new(|_, _| ok("slip"));
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let targets: Vec<Value> = names.iter().map(|uid| ready(uid, &server)).collect();
+    let (listener, folder) = (TcpListener::bind("127.0.0.1:0").unwrap(), folder());
+    let nodes = [0, 1].map(|_| Node::passed(&targets, &listener, &folder));
+    std::thread::scope(|scope| {
+        for (uid, node) in names.iter().zip(nodes.iter().cycle()) {
+            scope.spawn(|| assert_eq!(node.maintain("enter", uid), 200));
+        }
+    });
+    for node in &nodes {
+        assert_eq!(shown(node)["maintenance"], json!(names));
+    }
+}
+
 #[test]
 fn standby_empties_the_node_without_losing_a_request() {
     let server = Server::new(|count, _| match count {
@@ -239,15 +274,23 @@
 
 #[test]
 fn the_old_process_leaves_what_it_has_not_accepted_to_its_successor() {
-    let server = Server::new(|_, _| ok("slip"));
+    let server = Server::new(|count, _| match count {
+        0 => Act::SayMore(Vec::new(), Duration::from_millis(1000), answer(200, "", "slip")),
+        _ => ok("slip"),
+    });
     let (listener, folder) = (TcpListener::bind("127.0.0.1:0").unwrap(), folder());
     let mut old = Node::passed(&[ready("a", &server)], &listener, &folder);
-    assert_eq!(old.client().ask(&view()).status(), 200);
+    let mut busy = old.client();
+    busy.send(&order());
+    server.request();
     old.terminate();
-    assert!(old.exit().success());
-    // Nobody accepts, and nobody resets.
-    let mut waiting = Client::to(listener.local_addr().unwrap());
+    until("the old one is told", || shown(&old)["phase"] == "leaving");
+    // It is there and has work, but accepts nobody; nor does it reset anybody when it goes.
+    let mut waiting = old.client();
     waiting.send(&view());
+    assert_eq!(busy.answer().body, b"slip");
+    assert!(old.exit().success());
+    assert_eq!(server.count(), 1);
     let _new = Node::passed(&[ready("a", &server)], &listener, &folder);
     assert_eq!(waiting.answer().body, b"slip");
 }
