--- a/src/api.rs
+++ b/src/api.rs
@@ -284,10 +284,19 @@
     ServerChanges(Vec<ServerEntry>),
     /// A call to discovery failed, or the subscription broke.
     DiscoveryFailed,
+    /// An operator has taken a server out: it is not ready until it is put back, whatever lists say.
+    TakenOut(ServerId),
+    /// An operator has put a server back, at this time: it counts as started then.
+    PutBack(ServerId, Micros),
     /// A request has arrived; one final answer is owed from now on.
     Arrived(Request),
     /// The client has left; no answer is owed any more.
     Left(RequestId),
+    /// A request's body has begun to go to a server as it comes, and is kept nowhere: it can't be sent again,
+    /// and its time runs from its last byte, so that the attempt says when it is over.
+    BodyPassedOn(RequestId),
+    /// The last byte of such a body has come.
+    BodyWhole(RequestId),
     /// A streamed answer has begun; the attempt now belongs to the client.
     StreamBegan(RequestId, AttemptNo),
     /// An attempt has ended; each one sent does so once.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use crate::api::*;
+use crate::fleet::Upkeep;
 use crate::state::*;
 
 /// How many labels tenants are hashed to; few, so that pools keep room.
@@ -12,11 +13,9 @@
 /// The least that a label's pool takes while servers last.
 const POOL_MIN: usize = 4;
 /// The token of wake-ups that are about discovery; no request has such a number.
-const ASK: u64 = u64::MAX;
+pub(crate) const ASK: u64 = u64::MAX;
 /// The token of wake-ups that look at held requests again.
 const LOOK: u64 = u64::MAX - 1;
-/// The longest first wait before discovery is asked again; it doubles with each failure.
-const ASK_AGAIN: Micros = 1_000_000;
 /// The limit a server starts with, for the attempts of all nodes together; it never falls below this.
 const LIMIT_START: f64 = 2.0;
 /// Nor does it fall below this multiple of what served in-share work needs on idle servers.
@@ -44,14 +43,14 @@
 
 /// The decision module of one node.
 pub struct Balancer {
-    settings: Settings,
-    now: Micros,
-    actions: Vec<Action>,
-    random: fastrand::Rng,
+    pub(crate) settings: Settings,
+    pub(crate) now: Micros,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) random: fastrand::Rng,
     salt: u64,
-    servers: Vec<Server>,
+    pub(crate) servers: Vec<Server>,
     ready: Vec<usize>,
-    kind_sizes: BTreeMap<u8, f64>,
+    pub(crate) kind_sizes: BTreeMap<u8, f64>,
     pools: Vec<Vec<usize>>,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     held: Vec<Vec<Ask>>,
@@ -60,9 +59,10 @@
     waits: Waits,
     limit: f64,
     needed: Fading,
-    failed_asks: u32,
+    pub(crate) failed_asks: u32,
     copies_win: f64,
     looking: bool,
+    pub(crate) upkeep: Upkeep,
 }
 
 impl Balancer {
@@ -92,6 +92,7 @@
             failed_asks: 0,
             copies_win: 0.0,
             looking: false,
+            upkeep: Upkeep::default(),
             settings,
         };
         let heaviest = |s: &u64| (0..LABELS).map(|l| balancer.share(l, *s)).fold(0.0, f64::max);
@@ -112,12 +113,13 @@
                 self.ask();
             }
             Event::DiscoveryFailed => self.ask_later(),
+            Event::TakenOut(id) => self.taken_out(id),
+            Event::PutBack(id, at) => self.put_back(id, at),
             Event::Arrived(request) => self.arrived(request),
             Event::Left(id) => self.finish(id),
-            Event::StreamBegan(id, attempt) => {
-                self.change(id, |job| job.done = true);
-                self.cancel_others(id, Some(attempt));
-            }
+            Event::BodyPassedOn(id) => self.body_passed_on(id),
+            Event::BodyWhole(id) => self.body_whole(id),
+            Event::StreamBegan(id, attempt) => self.stream_began(id, attempt),
             Event::AttemptEnded(ended) => self.attempt_ended(ended),
             Event::Woken(ASK) => self.ask(),
             Event::Woken(LOOK) => {
@@ -129,51 +131,6 @@
         actions.append(&mut self.actions);
     }
 
-    fn ask(&mut self) {
-        let asked = self.settings.discovery != Discovery::Pushed;
-        self.actions.extend(asked.then_some(Action::Subscribe));
-    }
-
-    /// Asks again after a wait that doubles and is drawn at random, so that nodes which failed together
-    /// do not return together; never less often than the rules want.
-    fn ask_later(&mut self) {
-        let Discovery::Asked { every } = self.settings.discovery else { return };
-        let longest = (ASK_AGAIN << self.failed_asks.min(3)).min(every / 2).max(2);
-        self.failed_asks += 1;
-        self.actions.push(Action::Wake { after: longest / 2 + self.random.u64(..longest / 2), token: ASK });
-    }
-
-    fn list_changed(&mut self, list: Vec<ServerEntry>, whole: bool) {
-        self.failed_asks = 0;
-        let states = |of: &[Server]| of.iter().map(|s| (s.entry.id, s.entry.state)).collect::<Vec<_>>();
-        let before = states(&self.servers);
-        self.servers.iter_mut().filter(|_| whole).for_each(|s| s.entry.state = ServerState::Gone);
-        for entry in list {
-            let largest = self.kind_sizes.entry(entry.kind).or_insert(entry.weight);
-            *largest = largest.max(entry.weight);
-            let fresh = Server::new(entry, self.settings.classes.len());
-            match self.find(entry.id) {
-                Err(i) => self.servers.insert(i, fresh),
-                Ok(i) if self.servers[i].entry.ready_at == entry.ready_at => self.servers[i].entry = entry,
-                // A restarted server keeps its id, but nothing learned of it holds any more.
-                Ok(i) => {
-                    let Server { in_flight, share, size, .. } = self.servers[i];
-                    self.servers[i] = Server { in_flight, share, size, ..fresh };
-                }
-            }
-        }
-        self.servers.retain(|s| s.entry.state != ServerState::Gone || s.in_flight > 0);
-        // Live weights come twice a second: new pools for each would take a node's CPU.
-        if states(&self.servers) != before {
-            self.build_pools();
-        }
-        self.dispatch();
-    }
-
-    fn find(&self, id: ServerId) -> Result<usize, usize> {
-        self.servers.binary_search_by_key(&id, |s| s.entry.id)
-    }
-
     fn label(&self, tenant: u64, salt: u64) -> usize {
         (hash(tenant, salt) % LABELS as u64) as usize
     }
@@ -186,8 +143,8 @@
 
     /// Each label in turn takes its highest-ranking ready servers; the rest stay unlabelled. A label's
     /// size follows the shares of its tenants, and what no tenant has a share in stays unlabelled too.
-    fn build_pools(&mut self) {
-        let is_ready = |i: &usize| self.servers[*i].entry.state == ServerState::Ready;
+    pub(crate) fn build_pools(&mut self) {
+        let is_ready = |i: &usize| self.upkeep.takes_requests(&self.servers[*i].entry);
         self.ready = (0..self.servers.len()).filter(is_ready).collect();
         let stated = |i: &usize| self.stated_size(&self.servers[*i].entry);
         let mean = self.ready.iter().map(stated).sum::<f64>() / self.ready.len().max(1) as f64;
@@ -288,7 +245,7 @@
     }
 
     /// Sends what is held, best first, while pools have room.
-    fn dispatch(&mut self) {
+    pub(crate) fn dispatch(&mut self) {
         for pool in 0..self.held.len() {
             let mut blocked: Vec<Ask> = Vec::new();
             // A few that their classes tie to full servers must not stop the others.
@@ -330,7 +287,8 @@
 
     /// The part of its capacity that a starting server surely has.
     fn ramp(&self, entry: &ServerEntry) -> f64 {
-        let age = if entry.ready_at == 0 { Micros::MAX } else { self.now.saturating_sub(entry.ready_at) };
+        let started = self.upkeep.started(entry);
+        let age = if started == 0 { Micros::MAX } else { self.now.saturating_sub(started) };
         let warmed = (age as f64 / self.settings.warm_up.max(1) as f64).min(1.0);
         self.settings.cold_from + (1.0 - self.settings.cold_from) * warmed
     }
@@ -344,7 +302,8 @@
             Effect::Keyed { group: Group::Zone, .. } => a.to.zone == to.zone,
             Effect::Keyed { group: Group::Cell, .. } => a.to.cell == to.cell,
         };
-        job.attempts.len() < usize::from(self.settings.max_attempts)
+        !job.passed_on
+            && job.attempts.len() < usize::from(self.settings.max_attempts)
             && (job.out() == 0 || self.settings.second_copies)
             && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(a))
     }
@@ -371,13 +330,14 @@
         let own = self.members(pool);
         let members = if alike || !own.iter().all(errs) { own } else { &self.ready };
         let heed = members.iter().filter(|i| self.servers[**i].avoided(now)).count() * 2 <= members.len();
+        let owed = |i: &usize| self.upkeep.owed_a_trial(self.servers[*i].entry.id);
         let fit = |i: &usize| {
             let s = &self.servers[*i];
             let reach = self.ramp(&s.entry) * (self.settings.fall_multiple / 2.0).max(1.0);
             (s.in_flight == 0 || f64::from(s.in_flight) < self.room(*i).ceil())
                 // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
                 // from each node, or all that its neighbours cannot take, would push it over.
-                && (reach >= 1.0 || unit(hash(id, s.entry.id)) <= reach)
+                && (reach >= 1.0 || owed(i) || unit(hash(id, s.entry.id)) <= reach)
                 && !(heed && s.avoided(now))
                 && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
                 && self.allowed(job, &s.entry)
@@ -386,6 +346,9 @@
         // A repeat may be tied to servers that all err.
         let tied = alike || !job.attempts.is_empty() && fits.iter().all(errs);
         fits.retain(|i| tied || !errs(i));
+        if let Some(back) = fits.iter().copied().find(owed) {
+            return Some(back);
+        }
         // Each is as likely as it has capacity: most nodes hold nothing at either of the two, and comparing
         // sizes alone would send nearly all to the largest. Where servers are warm for keys they met, the
         // key draws in place of chance.
@@ -429,8 +392,9 @@
         let server = &mut self.servers[i];
         server.in_flight += 1;
         server.last_sent = self.now;
+        self.upkeep.tried(server.entry.id);
         job.held = false;
-        job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out });
+        job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out, working: true });
         self.actions.push(Action::Send { request: id, server: server.entry.id });
         self.wake(id);
     }
@@ -448,7 +412,8 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let hopeless = (job.ask.aim_at as f64 - TIMELY * self.times[job.ask.class].usual) as Micros;
         let held = |at: Micros| job.held.then_some(at);
-        let times = [Some(job.give_up_at), self.overdue_at(job), held(hopeless), held(job.place_until)];
+        let give_up_at = Some(job.give_up_at).filter(|_| !job.passed_on);
+        let times = [give_up_at, self.overdue_at(job), held(hopeless), held(job.place_until)];
         let next = times.into_iter().flatten().filter(|t| *t > self.now).min().unwrap_or(self.now);
         if next > self.now && (job.wake_at <= self.now || next < job.wake_at) {
             self.actions.push(Action::Wake { after: next - self.now, token: id });
@@ -486,11 +451,11 @@
         let Some(ended) = job.attempts.get_mut(usize::from(end.attempt)).filter(out) else { return };
         ended.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         job.done |= end.finished;
-        let (ask, to) = (job.ask, ended.to);
+        let (ask, to, working) = (job.ask, ended.to, ended.working);
         if end.outcome == Outcome::Served && job.out() > 0 {
             self.copies_win += STEP * (f64::from(u8::from(end.attempt > 0)) - self.copies_win);
         }
-        self.learn(ask, to.id, end);
+        self.learn(ask, to.id, end, working);
         let job = &self.jobs[&id];
         if job.done {
             self.finish(id);
@@ -507,11 +472,17 @@
     }
 
     /// Learns from an outcome how much the server takes and how long the class usually needs.
-    fn learn(&mut self, ask: Ask, to: ServerId, end: Ended) {
+    /// One that is not working on it any more, or not yet, is not slow.
+    pub(crate) fn learn(&mut self, ask: Ask, to: ServerId, end: Ended, working: bool) {
         let (class, Ok(i)) = (ask.class, self.find(to)) else { return };
         let waiting = self.held.iter().flatten().any(|ask| ask.in_share);
         let server = &mut self.servers[i];
-        server.in_flight -= 1;
+        server.in_flight -= u32::from(working);
+        if end.outcome == Outcome::Served && !working
+            || self.upkeep.was_before_return(to, self.now.saturating_sub(end.took))
+        {
+            return;
+        }
         // One given up has waited too; but a few very slow servers must not look like an overload of all.
         let base = self.times[class].base;
         let slack = (self.settings.classes[class].aim as f64 - base).max(0.0);
@@ -546,7 +517,7 @@
         }
     }
 
-    fn cancel_others(&mut self, id: RequestId, but: Option<AttemptNo>) {
+    pub(crate) fn cancel_others(&mut self, id: RequestId, but: Option<AttemptNo>) {
         let Some(job) = self.jobs.get(&id) else { return };
         for (n, attempt) in (0..).zip(&job.attempts) {
             if self.settings.cancelling && attempt.fate == Fate::Out && but != Some(n) {
@@ -583,7 +554,7 @@
         self.cancel_others(id, None);
     }
 
-    fn change(&mut self, id: RequestId, how: impl FnOnce(&mut Job)) {
+    pub(crate) fn change(&mut self, id: RequestId, how: impl FnOnce(&mut Job)) {
         self.jobs.get_mut(&id).map(how);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,9 @@
 
 pub mod api;
 mod decide;
+mod fleet;
 mod state;
+mod transfer;
 pub mod wire;
 
 pub use api::*;
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -11,9 +11,11 @@
 use serde_json::Value;
 
 use crate::discovery::Update;
+use crate::operator::CALLS_MOST;
 
-/// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
-const SPARE_SOCKETS: usize = 24;
+/// Descriptors for all but connections of clients and to servers: standard streams, epoll, wake-ups, signals,
+/// the listeners, discovery, the shared state's files, and operators.
+const SPARE_SOCKETS: usize = 16 + CALLS_MOST;
 
 /// No deadline is longer, whatever the settings or a client say.
 pub const LONGEST: Duration = Duration::from_secs(3600);
@@ -24,6 +26,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    operator: Option<SocketAddr>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -37,6 +40,7 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 /// What a class of requests looks like on the wire.
@@ -58,10 +62,16 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// How many connections, of clients and to servers together, it may hold.
     pub sockets: usize,
+    /// The same while two processes of the node run: each needs others besides.
+    pub shared_sockets: usize,
+    /// How many bytes of memory it may hold.
+    pub memory: usize,
     /// The list of servers as it was last held.
     pub known: Update,
     /// What the decision module is told.
@@ -88,6 +98,11 @@
         let settings = parse_settings(lines.as_bytes())?;
         settings.check()?;
         let s = &file.settings;
+        let sockets = file.limits.sockets.unwrap_or(1024);
+        let operator = match (file.operator, std::env::var("GW_OPERATOR")) {
+            (None, Ok(address)) => Some(address.parse().map_err(|error| format!("GW_OPERATOR: {error}"))?),
+            (told, _) => told,
+        };
         let rules = names(s, "services").into_iter().zip(&settings.classes).enumerate();
         let classes = rules
             .map(|(index, (name, class))| {
@@ -104,7 +119,9 @@
         let allowed = |key: &str, absent: u64| s["allowed"][key].as_f64().map_or(absent, |us| us as u64);
         Ok(Config {
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from(&file.name)),
-            sockets: file.limits.sockets.unwrap_or(1024).saturating_sub(SPARE_SOCKETS).max(8),
+            sockets: sockets.saturating_sub(SPARE_SOCKETS).max(8),
+            shared_sockets: (sockets / 2).saturating_sub(SPARE_SOCKETS).max(8),
+            memory: file.limits.memory_mb.unwrap_or(32).max(1) << 20,
             classes,
             tenants: (0..).zip(names(s, "parties")).map(|(index, name)| (name, index)).collect(),
             zones: strings(&s["zones"]),
@@ -114,6 +131,7 @@
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
+            operator,
             known: file.known,
             settings,
         })
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -2,12 +2,14 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -46,11 +48,34 @@
             headers.push((name.to_string(), value.trim().to_string()));
         }
         let mut message = Message { first, headers, body: Vec::new() };
-        let length = message.header("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
-        message.body.resize(length, 0);
-        from.read_exact(&mut message.body).ok()?;
+        if message.header("transfer-encoding") == Some("chunked") {
+            return message.read_chunks(from);
+        }
+        let length = message.header("content-length").and_then(|n| n.parse().ok());
+        if let Some(length) = length {
+            message.body.resize(length, 0);
+            from.read_exact(&mut message.body).ok()?;
+        } else if message.header("connection") == Some("close") && message.first.starts_with("HTTP/") {
+            from.read_to_end(&mut message.body).ok()?;
+        }
         Some(message)
     }
+
+    fn read_chunks(mut self, from: &mut impl BufRead) -> Option<Message> {
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok()?;
+            let length = usize::from_str_radix(line.trim_end().split(';').next()?, 16).ok()?;
+            let start = self.body.len();
+            self.body.resize(start + length, 0);
+            from.read_exact(&mut self.body[start..]).ok()?;
+            line.clear();
+            from.read_line(&mut line).ok()?;
+            if length == 0 {
+                return Some(self);
+            }
+        }
+    }
 }
 
 /// What a server does about a request.
@@ -62,6 +87,8 @@
     SayAndClose(Vec<u8>),
     /// Writes some bytes, and after a while others.
     SayMore(Vec<u8>, Duration, Vec<u8>),
+    /// Writes these one after the other, with a pause between any two.
+    SayInPieces(Vec<Vec<u8>>, Duration),
     /// Says nothing.
     Wait,
 }
@@ -124,6 +151,12 @@
                                 thread::sleep(later);
                                 drop(stream.write_all(&more));
                             }
+                            Act::SayInPieces(pieces, pause) => {
+                                for piece in pieces {
+                                    drop(stream.write_all(&piece));
+                                    thread::sleep(pause);
+                                }
+                            }
                             Act::Wait => {}
                         }
                     }
@@ -158,6 +191,20 @@
     }
 }
 
+/// The next connection to a listener.
+pub fn accepted(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let began = Instant::now();
+    loop {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            return stream;
+        }
+        assert!(began.elapsed() < WITHIN, "nobody connects");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// An address that refuses connections.
 pub fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -181,7 +228,7 @@
 
 impl Watch {
     pub fn accept(listener: &TcpListener) -> Watch {
-        let (mut stream, _) = listener.accept().unwrap();
+        let mut stream = accepted(listener);
         let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
         Watch { request, stream }
@@ -200,6 +247,8 @@
 /// A node process with its discovery; ended when dropped.
 pub struct Node {
     pub address: SocketAddr,
+    /// Where it hears operators, if it does.
+    operator: Option<SocketAddr>,
     pub discovery: TcpListener,
     config: Value,
     path: String,
@@ -212,7 +261,7 @@
     }
 
     pub fn with(targets: &[Value], sockets: usize) -> Node {
-        Node::run(program(), targets, sockets)
+        Node::run(program(), targets, sockets, false)
     }
 
     /// A node whose process gets no more than this many descriptors, whatever its configuration says.
@@ -221,30 +270,74 @@
         let script = format!("ulimit -n {descriptors}; exec \"$0\"");
         shell.args(["-c", &script, env!("CARGO_BIN_EXE_dunelink")]);
         shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        Node::run(shell, targets, 1024)
+        Node::run(shell, targets, 1024, false)
+    }
+
+    /// A node that hears operators, with this folder for what outlives it.
+    pub fn operated(targets: &[Value], sockets: usize, folder: &Path) -> Node {
+        let mut command = program();
+        command.env("TMPDIR", folder);
+        Node::run(command, targets, sockets, true)
     }
 
-    fn run(mut command: Command, targets: &[Value], sockets: usize) -> Node {
+    /// A process of a node that is passed its listening socket.
+    pub fn passed(targets: &[Value], listener: &TcpListener, folder: &Path) -> Node {
+        Node::passed_with(targets, listener, folder, 1024)
+    }
+
+    pub fn passed_with(targets: &[Value], listener: &TcpListener, folder: &Path, sockets: usize) -> Node {
+        let mut command = passing(listener);
+        command.env("TMPDIR", folder);
+        let mut node = Node::run(command, targets, sockets, true);
+        node.address = listener.local_addr().unwrap();
+        node
+    }
+
+    fn run(mut command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": discovery.local_addr().unwrap().to_string(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": {"rev": 41, "all": true, "targets": targets}, "settings": settings()});
+        if operated {
+            config["operator"] = "127.0.0.1:0".into();
+        }
         let path = write(&config.to_string());
         let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        let mut told = || {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            line.trim().rsplit(' ').next().unwrap().parse().expect(&line)
+        };
+        let address = told();
+        let operator = operated.then(told);
         // The log goes on to be read, lest the node waits for it.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { address, discovery, config, path, child }
+        Node { address, operator, discovery, config, path, child }
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(WITHIN)).unwrap();
-        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+        Client::to(self.address)
+    }
+
+    /// A connection for an operator's call.
+    pub fn operator(&self) -> Client {
+        Client::to(self.operator.expect("an operators' address"))
+    }
+
+    /// An operator's call.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> Message {
+        self.operator().ask(&call(method, path, body))
+    }
+
+    pub fn maintain(&self, what: &str, uid: &str) -> u16 {
+        self.call("POST", &format!("/maintenance/{what}"), &json!({ "host": uid }).to_string()).status()
+    }
+
+    /// What the front hears.
+    pub fn health(&self) -> u16 {
+        self.client().ask(HEALTH).status()
     }
 
     pub fn terminate(&self) {
@@ -268,6 +361,18 @@
         Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The most memory that it has held, in bytes.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
@@ -286,7 +391,7 @@
 }
 
 /// Writes a configuration to a file of its own.
-fn write(config: &str) -> String {
+pub fn write(config: &str) -> String {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::SeqCst);
     let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
@@ -300,6 +405,33 @@
     program
 }
 
+/// The program with a listening socket as descriptor 5.
+pub fn passing(socket: &impl AsFd) -> Command {
+    let mut shell = Command::new("sh");
+    shell.args(["-c", "exec \"$0\" 5<&0 0</dev/null", env!("CARGO_BIN_EXE_dunelink")]);
+    shell.stdin(socket.as_fd().try_clone_to_owned().unwrap());
+    shell.stdout(Stdio::null()).stderr(Stdio::piped()).env("GW_PASSED_SOCKET", "5");
+    shell
+}
+
+/// A folder of its own for what outlives a process.
+pub fn folder() -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = format!("{}/state-{}-{number}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path.into()
+}
+
+pub const HEALTH: &[u8] = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
+
+/// An operator's call, as it goes over the wire.
+pub fn call(method: &str, path: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("{method} {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {length}\r\n\r\n{body}").into_bytes()
+}
+
 fn settings() -> Value {
     let class = |name: &str, repeats: &str| {
         json!({"name": name, "idempotency": repeats, "dedup_scope": "cell", "window_us": 10_000_000,
@@ -321,11 +453,26 @@
 }
 
 impl Client {
+    pub fn to(address: SocketAddr) -> Client {
+        Client::on(TcpStream::connect(address).unwrap())
+    }
+
+    /// One end of a connection, whoever opened it.
+    pub fn on(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(WITHIN)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         // The node may have answered and closed before all is written.
         let _ = self.stream.write_all(bytes);
     }
 
+    /// The rest of an answer as far as it comes, and whether it was whole.
+    pub fn whole_answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
     pub fn answer(&mut self) -> Message {
         Message::read(&mut self.reader).expect("an answer")
     }
@@ -335,6 +482,22 @@
         matches!(self.reader.read(&mut [0]), Ok(0))
     }
 
+    /// Whether something has come and not been read.
+    pub fn has_something(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let came = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_nonblocking(false).unwrap();
+        came
+    }
+
+    /// Whether the node has closed the connection, with whatever it said before.
+    pub fn reader_ends(&mut self) -> bool {
+        match self.reader.read_to_end(&mut Vec::new()) {
+            Ok(_) => true,
+            Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
     pub fn ask(&mut self, bytes: &[u8]) -> Message {
         self.send(bytes);
         self.answer()
