Distrust kept connections on evidence only, not after a single chance break

From 2 s on about 2 % of requests were reset, on new connections (58 of some 2,150) as on kept ones (147 of 10,600). One such break made a node distrust kept connections after about any rest, for print orders from 0.05 s on in the median by 5 s (idle_most(once) 56 ms): each order then opened a connection and left its idle one lying (490 of 878 at 5 s). Ruled out: load (latencies), the cut (it began at 7 s, declines at 3 s), the module's limits. At fault: Trust::idle_most, where one break of one weighed 1 / (1 + HOPED_ONCE) = 0.5 against 0.05. Now the rest is sought that best tells breaks from chance, and goes by only when that is sure.

--- a/src/node/trust.rs
+++ b/src/node/trust.rs
@@ -13,9 +13,11 @@
 const STEPS: usize = 26;
 /// How fast what was seen is forgotten; a time that is no longer trusted is then tried anew.
 const MEMORY: Duration = Duration::from_secs(20);
-/// Requests that count as gone well before any was seen; of those that must not run twice, fewer.
-const HOPED: f64 = 4.0;
-const HOPED_ONCE: f64 = 1.0;
+/// Requests that count as seen before any was, one of them broken: connections break everywhere at times.
+const PRIOR: f64 = 20.0;
+/// How much likelier (as a logarithm) it has to be that rests of some length do harm than that chance does. A
+/// node of many sees a few requests a second, and a single break proves nothing to it.
+const SURE: f64 = 4.0;
 /// An idle time is known once so many requests were seen after it.
 const SEEN: f64 = 0.5;
 /// What part more may break on a kept connection than on a new one, which costs a handshake.
@@ -43,11 +45,6 @@
         let kept = (-self.at.elapsed().as_secs_f64() / MEMORY.as_secs_f64()).exp();
         (self.used * kept, self.broke * kept)
     }
-
-    fn risk(&self, hoped: f64) -> f64 {
-        let (used, broke) = self.now();
-        broke / (used + hoped)
-    }
 }
 
 /// What was seen of new connections and of kept ones by how long they had been idle.
@@ -71,23 +68,79 @@
     }
 
     /// For how long a connection may have been idle to be as good as a new one; `once` for a request that
-    /// must not run twice. What breaks after some time breaks after a longer one too.
+    /// must not run twice. What breaks after some time breaks after a longer one too: the time is the one that
+    /// best tells those that break from all others, if any does.
     pub fn idle_most(&self, once: bool) -> Duration {
-        let (hoped, worth) = if once { (HOPED_ONCE, WORTH_A_REQUEST) } else { (HOPED, WORTH_A_HANDSHAKE) };
-        let most = self.fresh.borrow().risk(HOPED) + worth;
-        let kept = self.kept.borrow();
-        let Some(mut step) = kept.iter().position(|tally| tally.risk(hoped) > most) else {
-            return Duration::MAX;
-        };
+        let worth = if once { WORTH_A_REQUEST } else { WORTH_A_HANDSHAKE };
+        let kept = self.kept.borrow().map(|tally| tally.now());
+        let mut shorter = self.fresh.borrow().now();
+        let mut longer = kept.iter().fold((0.0, 0.0), |sum, t| (sum.0 + t.0, sum.1 + t.1));
+        let mut found: Option<(f64, usize)> = None;
+        for (step, (used, broke)) in kept.into_iter().enumerate() {
+            let usual = (shorter.1 + 1.0) / (shorter.0 + PRIOR);
+            let sure = evidence(longer, usual);
+            if longer.1 > (usual + worth) * longer.0 && sure >= found.map_or(SURE, |(most, _)| most) {
+                found = Some((sure, step));
+            }
+            shorter = (shorter.0 + used, shorter.1 + broke);
+            longer = (longer.0 - used, longer.1 - broke);
+        }
+        let Some((_, mut step)) = found else { return Duration::MAX };
         // Others find out whether shorter times do.
-        while once && step > 0 && kept[step - 1].now().0 < SEEN {
+        while once && step > 0 && kept[step - 1].0 < SEEN {
             step -= 1;
         }
         FINEST.mul_f64(2f64.powf(step as f64 / 2.0))
     }
 }
 
+/// How much likelier (as a logarithm) these came of a risk of their own than of the usual one.
+fn evidence((used, broke): (f64, f64), usual: f64) -> f64 {
+    let of = |part: f64, usual: f64| if part > 0.0 { part * (part / used / usual).ln() } else { 0.0 };
+    of(broke, usual) + of(used - broke, 1.0 - usual)
+}
+
 fn step(idle: Duration) -> usize {
     let octaves = (idle.as_secs_f64() / FINEST.as_secs_f64()).max(1.0).log2();
     ((octaves * 2.0) as usize).min(STEPS - 1)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Requests after these rests, in milliseconds, each so often; one in so many breaks.
+    fn seen(trust: &Trust, rests: &[u64], times: usize, one_in: usize) {
+        for n in 0..times * rests.len() {
+            trust.learn(Some(Duration::from_millis(rests[n % rests.len()])), n % one_in == one_in - 1);
+        }
+    }
+
+    #[test]
+    fn breaks_that_befall_new_and_kept_connections_alike_tell_of_neither() {
+        let trust = Trust::new();
+        (0..40).for_each(|n| trust.learn(None, n % 20 == 0));
+        seen(&trust, &[6, 20, 60, 300, 900, 3000], 5, 11);
+        assert_eq!((trust.idle_most(true), trust.idle_most(false)), (Duration::MAX, Duration::MAX));
+    }
+
+    #[test]
+    fn one_break_after_a_rest_that_is_rare_proves_nothing() {
+        let trust = Trust::new();
+        seen(&trust, &[6, 20, 60], 5, 100);
+        trust.learn(Some(Duration::from_secs(3)), true);
+        assert_eq!(trust.idle_most(true), Duration::MAX);
+    }
+
+    #[test]
+    fn the_rest_after_which_connections_break_is_found_among_shorter_ones() {
+        let trust = Trust::new();
+        (0..40).for_each(|n| trust.learn(None, n % 20 == 0));
+        seen(&trust, &[6, 20, 60, 120], 10, 15);
+        seen(&trust, &[200, 300, 900], 2, 2);
+        for once in [true, false] {
+            let most = trust.idle_most(once);
+            assert!(most > Duration::from_millis(120) && most <= Duration::from_millis(200), "{most:?}");
+        }
+    }
+}
