Let one wait move the mean wait by no more than a typical request

At fault: Waits::add took each given-up attempt as a wait of 1.2 times the aim's slack, so that one in six looked like a queue and Balancer::admitted shed. Now an outlier moves the mean as far as a typical request.

--- a/src/state.rs
+++ b/src/state.rs
@@ -267,9 +267,11 @@
         self.mean * (1.0 - now.saturating_sub(self.at) as f64 / MEMORY).max(0.0)
     }
 
+    /// Takes in a wait. One that is off by far moves the mean no further than one that is off by a whole typical
+    /// request: load makes all waits a little longer, a lost answer or a silent server some of them endless.
     pub(crate) fn add(&mut self, now: Micros, waited: f64, base: f64, trust: f64) {
         self.typical += TYPICAL_STEP * (base - self.typical);
-        self.mean += WAIT_STEP * trust * (waited - self.mean);
+        self.mean += WAIT_STEP * trust * (waited - self.mean).clamp(-self.typical, self.typical);
         self.at = now;
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -699,6 +699,23 @@
     }
 }
 
+/// An attempt whose answer is lost has not waited for its turn. Counted in full, one in six of them made a node
+/// of many refuse half of what came, with idle servers.
+#[test]
+fn lost_answers_do_not_look_like_load() {
+    let mut node = Node::new(many(200, 0), servers(1..41));
+    counts(&mut node, 30);
+    let mut refusals = 0;
+    for n in 0..300 {
+        let (id, actions) = node.arrive(UNSAFE, Some(0));
+        refusals += usize::from(refused(&actions, id));
+        let (outcome, took) = if n % 6 == 5 { (Outcome::TimedOut, S) } else { (Outcome::Served, 25 * MS) };
+        node.now += took;
+        node.end(id, 0, outcome, took);
+    }
+    assert!(refusals <= 3, "{refusals} of 300 refused");
+}
+
 /// Waits are forgotten: a node that has shed all work would otherwise never learn that the jam is over.
 #[test]
 fn shedding_ends_by_itself() {
