Give idle connections up sooner while servers turn new ones away

At fault: Servers::idle_most, which knew servers' own time alone. Now a decline that ends a new connection halves the time for which a node keeps idle ones, down to a second; it doubles in 5 s without, and with declines on kept ones.

--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -26,7 +26,7 @@
 use crate::body::{Beginning, Download, End, Payload, Progress, Reply, Room, Upload};
 use crate::config::Config;
 use crate::socket::{Line, Place, ServerSocket};
-use crate::trust::Trust;
+use crate::trust::{Thrift, Trust};
 
 /// What a connection may buffer; it bounds headers too.
 pub const BUFFER_MOST: usize = 32 * 1024;
@@ -179,7 +179,7 @@
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
     connect_timeout: Duration,
-    idle_most: Duration,
+    thrift: Thrift,
     trust: Trust,
     room: Rc<Room>,
 }
@@ -231,7 +231,7 @@
             open: Rc::default(),
             most: Cell::new(config.sockets / 3),
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
-            idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
+            thrift: Thrift::new(Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART)),
             trust: Trust::new(),
             room,
         }
@@ -239,7 +239,7 @@
 
     /// For how long an idle connection is kept.
     fn idle_most(&self) -> Duration {
-        self.idle_most.min(self.trust.idle_most(false))
+        self.thrift.idle_most().min(self.trust.idle_most(false))
     }
 
     /// How many connections to servers there may be.
@@ -494,7 +494,7 @@
             }
             return tokio::select! {
                 biased;
-                finished = self.finish(server, connection, response) => finished,
+                finished = self.finish(server, connection, idle.is_none(), response) => finished,
                 () = stuck.as_mut() => Err(Outcome::Reset),
             };
         }
@@ -506,6 +506,7 @@
         self: &Rc<Self>,
         server: ServerId,
         connection: Connection,
+        new: bool,
         response: Response<Incoming>,
     ) -> Result<Attempted, Outcome> {
         let (mut parts, body) = response.into_parts();
@@ -533,6 +534,9 @@
         }
         match parts.status {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
+                if ends(&parts.headers) {
+                    self.thrift.turned_away(new);
+                }
                 Err(Outcome::TurnedAway)
             }
             _ => Err(Outcome::Error),
@@ -568,21 +572,23 @@
     /// Nothing if it says so in two ways, or not at all: the part of such an answer would look whole.
     fn of(headers: &HeaderMap) -> Option<Framing> {
         let encodings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
-        let closes = |value: &HeaderValue| {
-            value.to_str().is_ok_and(|v| v.split(',').any(|o| o.trim().eq_ignore_ascii_case("close")))
-        };
         match (&encodings[..], headers.contains_key(header::CONTENT_LENGTH)) {
             ([], true) => Some(Framing::Stated),
             ([one], false) if one.as_bytes().eq_ignore_ascii_case(b"chunked") => Some(Framing::Stated),
-            ([], false) => {
-                let closes = headers.get_all(header::CONNECTION).iter().any(closes);
-                closes.then_some(Framing::WithConnection)
-            }
+            ([], false) => ends(headers).then_some(Framing::WithConnection),
             _ => None,
         }
     }
 }
 
+/// Whether the connection ends with this answer.
+fn ends(headers: &HeaderMap) -> bool {
+    let closes = |value: &HeaderValue| {
+        value.to_str().is_ok_and(|v| v.split(',').any(|o| o.trim().eq_ignore_ascii_case("close")))
+    };
+    headers.get_all(header::CONNECTION).iter().any(closes)
+}
+
 /// Whether the node or its machine has no descriptor left.
 pub fn out_of_sockets(error: &io::Error) -> bool {
     const ENFILE: i32 = 23;
--- a/src/node/trust.rs
+++ b/src/node/trust.rs
@@ -3,7 +3,7 @@
 //! What stands between may drop a connection that has been idle for some time and say so only at its next
 //! request. Others break whether they are kept or new; to open more of those helps nobody.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -100,6 +100,43 @@
     of(broke, usual) + of(used - broke, 1.0 - usual)
 }
 
+/// An idle connection is kept for this long in any case: what comes again and again finds it.
+const KEPT_LEAST: Duration = Duration::from_secs(1);
+/// The time for which idle ones are kept doubles in this time while no server turns new ones away.
+const KEPT_DOUBLES: Duration = Duration::from_secs(5);
+
+/// For how long idle connections may be kept, learned from servers that turn new ones away.
+///
+/// Servers keep only so many connections and do not say how many. What all nodes together hold idle shuts out
+/// those that need one, whatever room the servers have for work.
+pub struct Thrift {
+    /// As of when it last changed.
+    kept: Cell<(Duration, Instant)>,
+    longest: Duration,
+}
+
+impl Thrift {
+    /// Keeps idle ones for up to `longest` while none is turned away.
+    pub fn new(longest: Duration) -> Thrift {
+        Thrift { kept: Cell::new((longest, Instant::now())), longest }
+    }
+
+    /// A request was turned away, and its connection with it. Where kept connections fare no better, it is
+    /// not connections that are short.
+    pub fn turned_away(&self, new: bool) {
+        let kept = self.idle_most();
+        let kept = if new { (kept / 2).max(KEPT_LEAST) } else { kept * 2 };
+        self.kept.set((kept.min(self.longest), Instant::now()));
+    }
+
+    pub fn idle_most(&self) -> Duration {
+        let (kept, since) = self.kept.get();
+        let doublings = since.elapsed().as_secs_f64() / KEPT_DOUBLES.as_secs_f64();
+        // Far more than enough doublings would overflow.
+        kept.mul_f64(2f64.powf(doublings.min(32.0))).min(self.longest)
+    }
+}
+
 fn step(idle: Duration) -> usize {
     let octaves = (idle.as_secs_f64() / FINEST.as_secs_f64()).max(1.0).log2();
     ((octaves * 2.0) as usize).min(STEPS - 1)
@@ -124,6 +161,24 @@
         assert_eq!((trust.idle_most(true), trust.idle_most(false)), (Duration::MAX, Duration::MAX));
     }
 
+    #[test]
+    fn idle_connections_are_given_up_while_new_ones_are_turned_away() {
+        let thrift = Thrift::new(Duration::from_secs(40));
+        (0..4).for_each(|_| thrift.turned_away(true));
+        let kept = thrift.idle_most().as_secs_f64();
+        assert!((2.5..4.0).contains(&kept), "{kept}");
+        (0..9).for_each(|_| thrift.turned_away(true));
+        assert!(thrift.idle_most() < 2 * KEPT_LEAST);
+        assert!(thrift.idle_most() >= KEPT_LEAST);
+    }
+
+    #[test]
+    fn where_kept_connections_are_turned_away_too_none_is_given_up() {
+        let thrift = Thrift::new(Duration::from_secs(40));
+        (0..20).for_each(|n| thrift.turned_away(n % 4 == 0));
+        assert_eq!(thrift.idle_most(), Duration::from_secs(40));
+    }
+
     #[test]
     fn one_break_after_a_rest_that_is_rare_proves_nothing() {
         let trust = Trust::new();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -271,6 +271,31 @@
     }
 }
 
+/// What all nodes hold idle fills servers' tables and shuts out those that need a connection.
+#[test]
+fn idle_connections_end_soon_where_new_ones_are_turned_away() {
+    let full = Arc::new(std::sync::Barrier::new(2));
+    let (held, declined) = (full.clone(), "Srv-Declined: 1\r\nConnection: close\r\n");
+    let server = Server::on(move |connection, request| {
+        if connection > 0 {
+            return Act::SayAndClose(answer(503, declined, ""));
+        }
+        if request.first.starts_with("POST") {
+            held.wait();
+        }
+        ok("slip")
+    });
+    let node = Node::new(&[ready("a", &server)]);
+    let mut busy = node.client();
+    busy.send(&order());
+    operating::until("the order is at the server", || server.count() == 1);
+    (0..4).for_each(|_| assert_ne!(node.client().ask(&view()).status(), 200));
+    full.wait();
+    assert_eq!(busy.answer().status(), 200);
+    // Long before the server would have closed it.
+    while server.ended() != 0 {}
+}
+
 #[test]
 fn half_an_answer_is_not_passed_on() {
     let turns = AtomicUsize::new(0);
--- a/tests/node/operating.rs
+++ b/tests/node/operating.rs
@@ -18,7 +18,7 @@
 }
 
 /// Waits until something holds; only a failing test waits for long.
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
     while !holds() {
         assert!(began.elapsed() < WITHIN, "{what}");
