Add the rests up anew where breaks are weighed against chance

What subtraction left over of an empty tally (a part of 1e-16 broken of 0 used) was evidence without bound. Trust::idle_most sums the longer rests for each step now.

--- a/src/node/trust.rs
+++ b/src/node/trust.rs
@@ -74,16 +74,16 @@
         let worth = if once { WORTH_A_REQUEST } else { WORTH_A_HANDSHAKE };
         let kept = self.kept.borrow().map(|tally| tally.now());
         let mut shorter = self.fresh.borrow().now();
-        let mut longer = kept.iter().fold((0.0, 0.0), |sum, t| (sum.0 + t.0, sum.1 + t.1));
         let mut found: Option<(f64, usize)> = None;
         for (step, (used, broke)) in kept.into_iter().enumerate() {
             let usual = (shorter.1 + 1.0) / (shorter.0 + PRIOR);
+            // Added up anew: what subtraction left over of nothing would tell with great certainty.
+            let longer = kept[step..].iter().fold((0.0, 0.0), |sum, t| (sum.0 + t.0, sum.1 + t.1));
             let sure = evidence(longer, usual);
             if longer.1 > (usual + worth) * longer.0 && sure >= found.map_or(SURE, |(most, _)| most) {
                 found = Some((sure, step));
             }
             shorter = (shorter.0 + used, shorter.1 + broke);
-            longer = (longer.0 - used, longer.1 - broke);
         }
         let Some((_, mut step)) = found else { return Duration::MAX };
         // Others find out whether shorter times do.
