--- a/src/decide.rs
+++ b/src/decide.rs
@@ -334,11 +334,8 @@
         // A pool whose members all err on such requests is empty for them; if all servers do, none is worse.
         let errs = |i: &usize| self.servers[*i].errs(job.ask.class, now);
         let alike = self.ready.iter().all(errs);
-        let lost = |i: &usize| self.servers[*i].reach.is_lost(now);
-        let cut_off = self.ready.iter().all(lost);
         let own = self.members(pool);
-        let of_use = |i: &usize| (alike || !errs(i)) && (cut_off || !lost(i));
-        let members = if own.iter().any(of_use) { own } else { &self.ready };
+        let members = if alike || !own.iter().all(errs) { own } else { &self.ready };
         let heed = members.iter().filter(|i| self.servers[**i].avoided(now)).count() * 2 <= members.len();
         let owed = |i: &usize| self.upkeep.owed_a_trial(self.servers[*i].entry.id);
         let fit = |i: &usize| {
@@ -349,7 +346,6 @@
                 // from each node, or all that its neighbours cannot take, would push it over.
                 && (reach >= 1.0 || owed(i) || unit(hash(id, s.entry.id)) <= reach)
                 && !(heed && s.avoided(now))
-                && (cut_off || !lost(i))
                 && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
                 && self.allowed(job, &s.entry)
         };
@@ -403,7 +399,6 @@
         let server = &mut self.servers[i];
         server.in_flight += 1;
         server.last_sent = self.now;
-        server.reach.tried(self.now);
         self.upkeep.tried(server.entry.id);
         job.held = false;
         job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out, working: true });
@@ -490,11 +485,6 @@
         let waiting = self.held.iter().flatten().any(|ask| ask.in_share);
         let server = &mut self.servers[i];
         server.in_flight -= u32::from(working);
-        match end.outcome {
-            Outcome::ConnectFailed => server.reach.missed(self.now),
-            Outcome::Cancelled | Outcome::NotSent | Outcome::TimedOut => {}
-            _ => server.reach = Reach::default(),
-        }
         if end.outcome == Outcome::Served && !working
             || self.upkeep.was_before_return(to, self.now.saturating_sub(end.took))
         {
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,41 +73,6 @@
     }
 }
 
-/// How long a server that could not be connected to is left alone at first; twice as long each time after.
-const UNREACHED: Micros = 250_000;
-/// How often that doubles: one that returns is found within seconds.
-const UNREACHED_DOUBLES: u32 = 3;
-
-/// Whether connections to a server come up. That one does not tells of this server and of this node's way to
-/// it, however many others fare alike: a node that is cut off with few servers has only those.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Reach {
-    missed: u32,
-    until: Micros,
-}
-
-impl Reach {
-    pub(crate) fn is_lost(&self, now: Micros) -> bool {
-        self.until > now
-    }
-
-    pub(crate) fn missed(&mut self, now: Micros) {
-        self.missed += 1;
-        self.wait(now);
-    }
-
-    /// Something is sent there: until it is known what becomes of it, one trial is enough.
-    pub(crate) fn tried(&mut self, now: Micros) {
-        if self.missed > 0 {
-            self.wait(now);
-        }
-    }
-
-    fn wait(&mut self, now: Micros) {
-        self.until = now + (UNREACHED << (self.missed - 1).min(UNREACHED_DOUBLES));
-    }
-}
-
 #[derive(Default)]
 pub(crate) struct Server {
     pub(crate) entry: ServerEntry,
@@ -120,7 +85,6 @@
     /// Errors by class: a server that errs on one serves the others well. The usual is what a
     /// quarter of all servers stay under.
     pub(crate) errors: Vec<Failures>,
-    pub(crate) reach: Reach,
     pub(crate) last_sent: Micros,
 }
 
