Take lists that are indented over many lines, and none that is older than the one held

At fault: the loop over lines in discovery::watch_at. A list now ends with the line on which its last bracket closes; one that an empty line interrupts has broken off, and an older one changes nothing: both begin the watch anew. Tested with 1,024 servers, known, pushed in one line, indented, and as changes, in under 24 MB; with 1,024 nodes in the module and on the adapter's wire. The share of a far server can no longer vanish where nodes are many.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,8 @@
 const SPILL: f64 = 4.0;
 /// How much less likely each of those is to be drawn.
 const FAR: f64 = 1e-3;
+/// How many times at most.
+const FARTHEST: f64 = 60.0;
 /// The golden ratio's fraction: its multiples fill the ring evenly however many there are.
 const SPREAD: f64 = 0.618_033_988_749_895;
 /// How quick and how slow a server can be against the usual time.
@@ -188,7 +190,8 @@
                 let size = self.servers[*i].size;
                 let overlap = |from: f64| ((from + size).min(end) - from.max(start)).max(0.0);
                 let behind = ((at - end).rem_euclid(ring) / (ring * part * SPILL)).floor();
-                let spill = size * FAR.powf(1.0 + behind);
+                // Far enough out, the order is of no matter, and a share must not vanish.
+                let spill = size * FAR.powf(1.0 + behind.min(FARTHEST));
                 self.servers[*i].share = (overlap(at) + overlap(at + ring)).max(spill);
                 at += size;
             }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -32,8 +32,8 @@
 const AGAIN: Duration = Duration::from_millis(150);
 /// The most failures that the wait grows with.
 const AGAIN_MOST: u32 = 4;
-/// The longest line; a list of some thousand servers.
-const LONGEST_LINE: usize = 1 << 20;
+/// The longest list; one of some thousand servers, however it is indented.
+const LONGEST_LIST: usize = 2 << 20;
 
 /// What discovery says on one line.
 #[derive(Default, Deserialize)]
@@ -192,24 +192,74 @@
         return Err(format!("it answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut line = Vec::new();
+    let mut lines = Lines::new();
     loop {
         let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "the watch fell silent")?;
         let Ok(data) = frame.ok_or("the watch ended")??.into_data() else { continue };
-        let mut rest = &data[..];
-        while let Some(end) = rest.iter().position(|b| *b == b'\n') {
-            line.extend_from_slice(&rest[..end]);
-            rest = &rest[end + 1..];
-            if !line.trim_ascii().is_empty() {
-                let update: Update = serde_json::from_slice(&line)?;
-                *rev = update.rev;
-                tell(&update);
+        for byte in data {
+            let Some(update) = lines.take(byte)? else { continue };
+            // What is held goes before what came late; a new watch tells what has changed since.
+            if update.rev < *rev {
+                return Err(format!("a list of {}, older than the one held", update.rev).into());
             }
-            line.clear();
+            *rev = update.rev;
+            tell(&update);
         }
-        line.extend_from_slice(rest);
-        if line.len() > LONGEST_LINE {
-            return Err("a line without end".into());
+    }
+}
+
+/// Puts together the lists that come on a watch: each ends with a line, but may be indented over many.
+struct Lines {
+    bytes: Vec<u8>,
+    /// How many brackets are open, outside of strings.
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+    /// Whether the current line has nothing on it yet.
+    blank: bool,
+}
+
+impl Lines {
+    fn new() -> Lines {
+        Lines { bytes: Vec::new(), depth: 0, in_string: false, escaped: false, blank: true }
+    }
+
+    /// Takes in a byte; gives a list that it ends.
+    fn take(&mut self, byte: u8) -> Result<Option<Update>, Box<dyn Error>> {
+        if byte == b'\n' {
+            return self.line_ended();
+        }
+        if self.bytes.len() >= LONGEST_LIST {
+            return Err("a list without end".into());
+        }
+        self.bytes.push(byte);
+        self.blank &= byte.is_ascii_whitespace();
+        match byte {
+            _ if self.escaped => self.escaped = false,
+            b'\\' => self.escaped = self.in_string,
+            b'"' => self.in_string = !self.in_string,
+            _ if self.in_string => {}
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    fn line_ended(&mut self) -> Result<Option<Update>, Box<dyn Error>> {
+        let blank = std::mem::replace(&mut self.blank, true);
+        if self.depth > 0 || self.in_string {
+            // An empty line says that nothing changes: whatever has begun before it was broken off.
+            if blank || self.in_string {
+                return Err("a list broke off".into());
+            }
+            self.bytes.push(b'\n');
+            return Ok(None);
+        }
+        let bytes = std::mem::take(&mut self.bytes);
+        if bytes.trim_ascii().is_empty() {
+            return Ok(None);
         }
+        Ok(Some(serde_json::from_slice(&bytes)?))
     }
 }
--- /dev/null
+++ b/tests/node/lists.rs
@@ -0,0 +1,65 @@
+//! Lists as discovery pushes them: long, indented, broken off, old.
+
+use serde_json::{Value, json};
+
+use crate::operating::until;
+use crate::peers::*;
+
+/// As many as a deployment may have, all at one address.
+const MANY: usize = 1024;
+
+fn targets(of: &str, server: &Server, state: &str) -> Vec<Value> {
+    (0..MANY).map(|n| target(&format!("{of}-{n}"), server.address, (n / 8) as u16, state)).collect()
+}
+
+fn list(rev: u64, all: bool, targets: &[Value]) -> Value {
+    json!({"rev": rev, "all": all, "targets": targets})
+}
+
+fn serves(node: &Node, body: &str) -> bool {
+    [view(), submit(), order()].iter().all(|r| node.client().ask(r).body == body.as_bytes())
+}
+
+#[test]
+fn a_thousand_servers_are_taken_from_all_kinds_of_lists_in_little_memory() {
+    let [known, pushed, late] = ["known", "pushed", "late"].map(|body| Server::new(move |_, _| ok(body)));
+    let node = Node::new(&targets("k", &known, "ready"));
+    assert!(serves(&node, "known"));
+    let mut watch = Watch::accept(&node.discovery);
+    watch.line(&list(42, true, &targets("p", &pushed, "ready")).to_string());
+    until("the pushed list holds", || serves(&node, "pushed"));
+    let indented = serde_json::to_string_pretty(&list(43, true, &targets("l", &late, "ready"))).unwrap();
+    assert!(indented.lines().count() > 8 * MANY);
+    watch.line(&indented);
+    until("the indented list holds", || serves(&node, "late"));
+    // Changes to all of them at once: they drain, and the others are back.
+    let changes = [targets("l", &late, "draining"), targets("p", &pushed, "ready")].concat();
+    watch.line(&serde_json::to_string_pretty(&list(44, false, &changes)).unwrap());
+    until("the changes hold", || serves(&node, "pushed"));
+    let memory = node.memory();
+    assert!(memory < 24 << 20, "{memory} bytes for lists of {MANY}");
+}
+
+#[test]
+fn a_list_that_is_broken_off_or_old_changes_nothing_and_is_asked_for_anew() {
+    let (held, other) = (Server::new(|_, _| ok("held")), Server::new(|_, _| ok("other")));
+    let node = Node::new(&[ready("a", &held)]);
+    let whole = list(60, true, &[ready("b", &other)]);
+    let indented = serde_json::to_string_pretty(&whole).unwrap();
+    let half = &indented[..indented.len() / 2];
+    let in_a_string = &indented[..indented.find("\"uid\": \"").unwrap() + 8];
+    let old = list(40, true, &[ready("b", &other)]).to_string();
+    let unlike = whole.to_string().replace("\"ready\"", "\"asleep\"");
+    for bad in [&format!("{half}\n"), in_a_string, &old, &unlike, "}", "[[[[", "\"", "\u{0}"] {
+        let mut watch = Watch::accept(&node.discovery);
+        assert_eq!(watch.request.first, "GET /catalog/members?watch=1&from=41 HTTP/1.1", "before {bad}");
+        watch.line(bad);
+        // What broke off shows as soon as the next empty line says that nothing changes.
+        watch.line("");
+        assert!(serves(&node, "held"), "after {bad}");
+    }
+    let mut watch = Watch::accept(&node.discovery);
+    // A list twice is a list once.
+    watch.line(&format!("{indented}\n{whole}"));
+    until("the whole list holds", || serves(&node, "other"));
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -683,6 +683,30 @@
     assert!(served.len() <= 20, "{} of 200 servers: {served:?}", served.len());
 }
 
+/// As many nodes and servers as a deployment may have: each node keeps to few, together they use all, and what a
+/// request or a list costs stays small.
+#[test]
+fn a_thousand_nodes_share_a_thousand_servers() {
+    let began = std::time::Instant::now();
+    let mut used = BTreeSet::new();
+    for rank in (0..1024).step_by(4) {
+        let mut node = Node::new(many(1024, rank), servers(1..1025));
+        let got = counts(&mut node, 8);
+        assert_eq!(got.values().sum::<usize>(), 8, "node {rank}");
+        used.extend(got.into_keys());
+    }
+    // One of four tenants, and so one of the pools.
+    let pool = used.len();
+    assert!((300..800).contains(&pool), "{pool} servers of one label");
+    let mut node = Node::new(many(1024, 5), servers(1..1025));
+    assert!(counts(&mut node, 200).len() <= 16);
+    for n in 0..200 {
+        node.tell(Event::ServerChanges(vec![ServerEntry { state: ServerState::Draining, ..server(1 + n) }]));
+    }
+    // Without optimisation, on a busy machine.
+    assert!(began.elapsed().as_secs() < 60, "{:?}", began.elapsed());
+}
+
 /// A live weight is a second old and the same at all nodes: drawn by it, they crowded what had been idle.
 #[test]
 fn a_live_weight_does_not_change_a_server_size() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -184,6 +184,38 @@
     assert_eq!(out.stdout, hex("00000000 04000000 01000000"));
 }
 
+/// The last of so many nodes is told of as many servers, and sends to one of them.
+#[test]
+fn the_adapter_takes_a_thousand_nodes_and_servers() {
+    const MANY: u32 = 1024;
+    let settings = format!(
+        "balancers={MANY}\nrank=1023\nservices.count=1\nservices.0.idempotency=pure\n\
+                            services.0.goal_time_us=300000\nservices.0.deadline_us=600000\nservices.0.points=1.0\n"
+    );
+    let mut frame = hex("5a5c800000000000 01000000");
+    frame.extend(hex("0b00 00"));
+    frame.extend(MANY.to_le_bytes());
+    for n in 0..MANY {
+        frame.extend(hex("02 0000000000000000 00 0a12"));
+        frame.extend((n as u16).to_be_bytes());
+        frame.extend(hex("8b13 0000 0000803f 00"));
+    }
+    for n in 0..MANY as u16 {
+        frame.extend(hex("0c00"));
+        frame.extend(n.to_le_bytes());
+        frame.extend(hex("0100 0700000000000000"));
+        frame.extend((settings.len() as u32).to_le_bytes());
+        frame.extend(settings.bytes());
+        frame.extend(hex("0200 02 2900000000000000 00"));
+    }
+    frame.extend(hex("0300 c4913a5de1dd0700 00 80a90300 e02e0000 640ad2557c3bf091 01 02000000"));
+    let input = [&(frame.len() as u32).to_le_bytes()[..], &frame].concat();
+    let out = adapter(&input);
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+    let sent = hex("0100 c4913a5de1dd0700 0a12");
+    assert!(out.stdout.windows(sent.len()).any(|part| part == sent));
+}
+
 #[test]
 fn the_adapter_says_plainly_what_is_malformed() {
     let header = "5a5c800000000000 01000000";
