Let a node of many have an attempt out for each of its first choices

At fault: Balancer::has_room, where a node's part of a limit for all nodes (LIMIT_START: 2 in 350 of a pool's 66 servers) is under one attempt, so that one at a time went out in each pool until the limit was learned, and again whenever a lost answer held the place. One for each first choice always has room now, where own counts tell little. Ruled out: want of ready servers, load (answers as on idle servers), a higher limit for all (it jams few nodes' servers).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,7 +28,7 @@
 const DEPTH_LEAST: f64 = 4.0;
 /// How many nodes a server of mean size is the first choice of.
 const SHARED_BY: f64 = 6.0;
-/// What a slice of a pool cannot take is spread over so many slices behind it, then over as many behind those.
+/// What a slice of a pool cannot take is spread over so many slices behind it, then over as many behind them.
 const SPILL: f64 = 4.0;
 /// How much less likely each of those is to be drawn.
 const FAR: f64 = 1e-3;
@@ -58,6 +58,8 @@
     ready: Vec<usize>,
     pub(crate) kind_sizes: BTreeMap<u8, f64>,
     pools: Vec<Vec<usize>>,
+    /// How many first choices this node has in each pool.
+    firsts: Vec<f64>,
     pub(crate) jobs: BTreeMap<RequestId, Job>,
     held: Vec<Vec<Ask>>,
     shares: Vec<Bucket>,
@@ -88,6 +90,7 @@
             ready: Vec::new(),
             kind_sizes: BTreeMap::new(),
             pools: Vec::new(),
+            firsts: Vec::new(),
             jobs: BTreeMap::new(),
             held: vec![Vec::new(); LABELS + 1],
             shares,
@@ -177,9 +180,10 @@
 
     /// Of many nodes each draws from a slice of a pool first: it meets those often enough for its own counts
     /// to tell of them, and connections last. Pools lie on a ring by size, and nodes are spread evenly over
-    /// it, whichever ranks are up: each server gets its part of the work from the slices that overlap it. What
-    /// goes elsewhere goes to the same few again, on connections that are there.
+    /// it, whichever ranks are up: each server gets its part of the work from the slices that overlap it.
+    /// What goes elsewhere goes to the same few again, on connections that are there.
     fn cut_slices(&mut self) {
+        self.firsts.clear();
         for pool in std::mem::take(&mut self.pools) {
             let ring: f64 = pool.iter().map(|i| self.servers[*i].size).sum();
             let part = (SHARED_BY / f64::from(self.settings.balancers)).min(1.0);
@@ -190,11 +194,12 @@
                 let size = self.servers[*i].size;
                 let overlap = |from: f64| ((from + size).min(end) - from.max(start)).max(0.0);
                 let behind = ((at - end).rem_euclid(ring) / (ring * part * SPILL)).floor();
-                // Far enough out, the order is of no matter, and a share must not vanish.
+                // Far out, the order is of no matter, but a share must not vanish.
                 let spill = size * FAR.powf(1.0 + behind.min(FARTHEST));
                 self.servers[*i].share = (overlap(at) + overlap(at + ring)).max(spill);
                 at += size;
             }
+            self.firsts.push((pool.len() as f64 * part).ceil());
             self.pools.push(pool);
         }
     }
@@ -318,11 +323,13 @@
             && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(a))
     }
 
-    /// Whether this part of the pool's room is not yet filled; one attempt always has room.
+    /// Whether this part of the pool's room is not yet filled. One attempt always has room, at a node of many
+    /// one for each of its first choices: its part of a limit that is not learned yet would be none.
     fn has_room(&self, pool: usize, part: f64) -> bool {
         let members = self.members(pool);
-        let busy: u32 = members.iter().map(|i| self.servers[*i].in_flight).sum();
-        busy == 0 || f64::from(busy) < part * members.iter().map(|i| self.room(*i)).sum::<f64>()
+        let busy = f64::from(members.iter().map(|i| self.servers[*i].in_flight).sum::<u32>());
+        let always = self.firsts.get(pool).map_or(1.0, |firsts| (firsts * self.blindness()).max(1.0));
+        busy < always || busy < part * members.iter().map(|i| self.room(*i)).sum::<f64>()
     }
 
     /// How little own counts tell: a node whose part of a server is under half an attempt sees little load.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -683,6 +683,20 @@
     assert!(served.len() <= 20, "{} of 200 servers: {served:?}", served.len());
 }
 
+/// The limit is one for all nodes together. Until it is learned, a node's part of it left each pool one attempt at
+/// a time, and a fleet that had just started refused one request in seven beside idle servers.
+#[test]
+fn a_node_of_many_has_room_for_its_first_choices_from_the_start() {
+    let mut node = Node::new(many(200, 3), servers(1..201));
+    // Six nodes share a server: of a pool of a hundred a node has three, and may borrow as many of others.
+    let sent = (0..30).map(|_| {
+        let (id, actions) = node.arrive(UNSAFE, Some(0));
+        sends(&actions, id).len()
+    });
+    let sent: usize = sent.sum();
+    assert!((6..=12).contains(&sent), "{sent} of 30 sent at once");
+}
+
 /// As many nodes and servers as a deployment may have: each node keeps to few, together they use all, and what a
 /// request or a list costs stays small.
 #[test]
