--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -149,7 +149,6 @@
         match happening {
             Happening::Module(event) => self.queue.push_back(event),
             Happening::Arrived(request, outgoing, answer) => {
-                eprintln!("A {} {} c{} t{:?} {} {:?}", self.now(), request.id, request.class, request.tenant, request.remaining, outgoing.headers.get("req-id"));
                 let open = Open {
                     outgoing,
                     answer: Some(answer),
@@ -204,7 +203,6 @@
         let came = open.outgoing.came().map_or(now, |at| now - at.elapsed().as_micros() as Micros);
         let took = ended.began_at.unwrap_or(now).saturating_sub(ended.sent_at.max(came));
         let finished = open.answer.is_none();
-        eprintln!("E {} {} {} {:?} {} {}", now, request, attempt, outcome, took, finished);
         self.queue.push_back(Event::AttemptEnded(Ended { request, attempt, outcome, took, finished }));
     }
 
@@ -229,12 +227,10 @@
         match action {
             Action::Send { request, server } => self.send(request, server),
             Action::Refuse { request, retry_after } => {
-                eprintln!("R {} {} {}", self.now(), request, retry_after);
                 let stay_away = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 self.answer(request, Answer::Refused(stay_away));
             }
             Action::Fail(request) => {
-                eprintln!("F {} {}", self.now(), request);
                 let out = |open: &Open| open.timed_out || open.attempts.iter().any(|a| a.task.is_some());
                 let timed_out = self.open.get(&request).is_some_and(out);
                 self.answer(request, Answer::Failed { timed_out });
@@ -278,7 +274,6 @@
 
     fn send(&mut self, request: RequestId, server: ServerId) {
         let sent_at = self.now();
-        eprintln!("S {} {} {}", sent_at, request, server);
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.attempts.len() as AttemptNo;
         let (servers, mailbox) = (self.servers.clone(), self.mailbox.clone());
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -51,7 +51,6 @@
     let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
     let config = Rc::new(Config::read(&path).map_err(|error| format!("{path}: {error}"))?);
-    if config.name == "n0" || config.name == "n1" { let t = std::fs::read_to_string(&path)?; t.as_bytes().chunks(4000).for_each(|c| eprintln!("CFG {}", String::from_utf8_lossy(c))); }
     let handed_over = passed.is_some();
     let listener = match passed {
         Some(listener) => TcpListener::from_std(listener)?,
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -388,10 +388,7 @@
             return Err(Outcome::NotSent);
         }
         let place = Place::taken(&self.open);
-        let t0 = Instant::now();
-        let r = timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await;
-        eprintln!("C {} {} {}", run.endpoint, t0.elapsed().as_micros(), match &r { Ok(Ok(_)) => "ok".to_string(), Ok(Err(e)) => format!("{:?}", e.kind()), Err(_) => "timeout".to_string() });
-        let stream = match r {
+        let stream = match timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if out_of_sockets(&error) => {
                 self.evict();
@@ -444,9 +441,6 @@
                 }
                 None => {
                     let there = self.whereabouts(server).ok_or(Outcome::NotSent)?;
-                    let ages: Vec<u128> = self.members.borrow().get(&server).map(|m| m.idle.iter().map(|c| c.idle_since.elapsed().as_millis()).collect()).unwrap_or_default();
-                    let all: usize = self.members.borrow().values().map(|m| m.idle.len()).sum();
-                    eprintln!("N {} once {} idle {} all {} open {} trust {} {}", server, outgoing.once, ages.len(), all, self.open.get(), self.trust.idle_most(false).as_millis().min(99999), self.trust.idle_most(true).as_millis().min(99999));
                     (self.connect(there).await?, None)
                 }
             };
@@ -473,7 +467,6 @@
                 () = stuck.as_mut() => return Err(Outcome::Reset),
             };
             let written = line.written() - before;
-            if let Err(e) = &answered { eprintln!("X {} idle {:?} written {} of {} after {} : {:?}", server, idle.map(|i| i.as_millis()), written, head, _unanswered.sent.elapsed().as_micros(), e); }
             let response = match answered {
                 Ok(response) => {
                     self.heard(server);
@@ -519,7 +512,6 @@
         let (mut parts, body) = response.into_parts();
         let framing = Framing::of(&parts.headers).ok_or(Outcome::Reset)?;
         let beginning = Beginning::read(body, &self.room).await.ok_or(Outcome::Reset)?;
-        if parts.status != StatusCode::OK { eprintln!("D {} {} {:?} {:?} {}", server, parts.status.as_u16(), parts.headers, match &beginning { Beginning::Whole(b, _) => String::from_utf8_lossy(b).to_string(), _ => String::new() }, connection.idle_since.elapsed().as_micros()); }
         let declined = parts.headers.get(DECLINED).is_some_and(|v| v.as_bytes() == b"1");
         let (stays, servers) = (framing == Framing::Stated, self.clone());
         if parts.status == StatusCode::OK {
