See a client leave while its request waits, whatever it sent before

So a client that had sent a byte, its next request or half of a large body behind a request that was held was not seen to leave: its request was sent on as soon as a slot was free.

Mended where the node waits (`Clients::wait`): `Seen::closed` waits for the kernel's word that the peer has ended, which needs no read. It needs the socket beside hyper's reading, so that is one half of it now.

The new test leaves in ten ways, by FIN and by RST. Without the mend it fails: "no answer in time" to an order whose slot the left ones had taken.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -62,6 +62,9 @@
 /// What a client is told when the node has no connection left to serve it with.
 const CROWDED: Duration = Duration::from_secs(1);
 
+/// What nobody is there to hear.
+const LEFT: Wrong = (StatusCode::BAD_REQUEST, "the client has left");
+
 /// What the node means to do with its clients. In all phases it serves those that come; in all but the first
 /// it ends each connection with its next answer.
 #[derive(Clone, Copy, PartialEq)]
@@ -423,7 +426,7 @@
         let outgoing = taken.outgoing.clone();
         // Where all others are busy too, a refusal needs no server and makes room.
         let crowded = self.busy.get() > self.served();
-        let response = if crowded { refused(Some(CROWDED)) } else { self.wait(taken).await? };
+        let response = if crowded { refused(Some(CROWDED)) } else { self.wait(taken, seen).await? };
         let next = match outgoing.came() {
             None => Next::Cut,
             Some(_) if chunked => Next::Blurred,
@@ -526,7 +529,7 @@
     }
 
     /// Hands a request to the engine and waits for the final answer. Dropped before it, the client has left.
-    async fn wait(&self, taken: Taken<'_>) -> Result<Response<Reply>, Wrong> {
+    async fn wait(&self, taken: Taken<'_>, seen: &Seen) -> Result<Response<Reply>, Wrong> {
         let (sender, answer) = oneshot::channel();
         let upload = taken.outgoing.upload.clone();
         let failed = async move {
@@ -541,6 +544,7 @@
             biased;
             answer = answer => answer,
             wrong = failed => return Err(wrong),
+            () = seen.closed() => return Err(LEFT),
             () = self.last_call.cancelled() => {
                 return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
             }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -4,14 +4,16 @@
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep};
 
@@ -72,7 +74,7 @@
 
 /// A client's socket and what was seen on it, shared with who answers it.
 pub struct Seen {
-    stream: RefCell<TcpStream>,
+    stream: OwnedWriteHalf,
     passing: RefCell<Passing>,
     lingers: Cell<bool>,
     blocked_since: Cell<Option<Instant>>,
@@ -95,6 +97,33 @@
         self.blocked_since.get()
     }
 
+    /// Ends once the client has closed its side or reset the connection, whatever it sent before: hyper looks no
+    /// further while it holds bytes that nobody has asked for, and would not know.
+    pub async fn closed(&self) {
+        // Nothing is ever urgent here: what is left of this interest is the end of what can be read.
+        while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
+    }
+
+    /// Writes what the kernel takes, once it takes some.
+    fn poll_write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let stream = self.stream.as_ref();
+        loop {
+            let polled = match stream.poll_write_ready(cx) {
+                Poll::Ready(Ok(())) => match write(stream) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                    written => Poll::Ready(written),
+                },
+                Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+                Poll::Pending => Poll::Pending,
+            };
+            return self.wrote(polled);
+        }
+    }
+
     fn wrote(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let since = self.blocked_since.get().unwrap_or_else(Instant::now);
         self.blocked_since.set(polled.is_pending().then_some(since));
@@ -103,7 +132,7 @@
 
     /// Whether the kernel holds nothing of a request that is still to be read.
     pub fn is_quiet(&self) -> bool {
-        !matches!(peek(&self.stream.borrow()), Ok(1..))
+        !matches!(peek(self.stream.as_ref()), Ok(1..))
     }
 
     /// Whether the head of the request at hand may state a length, which hyper drops if the request has a
@@ -128,6 +157,7 @@
 
 /// A client's socket.
 pub struct ClientSocket {
+    reading: OwnedReadHalf,
     seen: Rc<Seen>,
     lingering: Option<(Pin<Box<Sleep>>, usize)>,
 }
@@ -136,17 +166,21 @@
     pub fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
         // A slow reader is seen to read only as the kernel's buffer empties, and that grows to megabytes.
         let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
-        let (stream, passing) = (RefCell::new(stream), RefCell::new(Passing::new(false)));
+        let ((reading, stream), passing) = (stream.into_split(), RefCell::new(Passing::new(false)));
         let seen =
             Rc::new(Seen { stream, passing, lingers: Cell::new(false), blocked_since: Cell::new(None) });
-        (ClientSocket { seen: seen.clone(), lingering: None }, seen)
+        (ClientSocket { reading, seen: seen.clone(), lingering: None }, seen)
     }
 }
 
 impl AsyncRead for ClientSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_read(cx, buf);
+        let polled = Pin::new(&mut self.reading).poll_read(cx, buf);
         self.seen.passing.borrow_mut().take(&buf.filled()[before..]);
         polled
     }
@@ -154,8 +188,7 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write(cx, buf);
-        self.seen.wrote(polled)
+        self.seen.poll_write(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -163,22 +196,25 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.seen.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.seen.wrote(polled)
+        self.seen.poll_write(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.seen.stream.borrow().is_write_vectored()
+        self.seen.stream.as_ref().is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.seen.stream.borrow_mut()).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // TCP holds nothing back.
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.lingering.is_none() {
-            ready!(Pin::new(&mut *this.seen.stream.borrow_mut()).poll_shutdown(cx))?;
+            match SockRef::from(this.seen.stream.as_ref()).shutdown(Shutdown::Write) {
+                Err(error) if error.kind() != io::ErrorKind::NotConnected => return Poll::Ready(Err(error)),
+                _ => {}
+            }
             if !this.seen.lingers.get() {
                 return Poll::Ready(Ok(()));
             }
@@ -190,7 +226,7 @@
             }
             let mut space = [0; 16 * 1024];
             let mut buf = ReadBuf::new(&mut space);
-            match ready!(Pin::new(&mut *this.seen.stream.borrow_mut()).poll_read(cx, &mut buf)) {
+            match ready!(Pin::new(&mut this.reading).poll_read(cx, &mut buf)) {
                 Ok(()) if !buf.filled().is_empty() => *left = left.saturating_sub(buf.filled().len()),
                 _ => break,
             }
--- /dev/null
+++ b/tests/node/leaving.rs
@@ -0,0 +1,123 @@
+//! Clients that leave while their requests wait: nothing of those is written to a server any more.
+
+use std::net::TcpListener;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
+
+use super::peers::*;
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Going {
+    Closing,
+    Resetting,
+}
+
+const GOINGS: [Going; 2] = [Going::Closing, Going::Resetting];
+
+fn leave(client: Client, going: Going) {
+    if matches!(going, Going::Resetting) {
+        SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(client);
+}
+
+/// Waits until the node holds no more descriptors than this; far longer than it may take, and far shorter than
+/// any request's time.
+fn let_go_of(node: &Node, descriptors: usize, what: &str) {
+    let began = Instant::now();
+    while node.descriptors() > descriptors {
+        assert!(began.elapsed() < Duration::from_secs(3), "{what}: the client's leaving was not seen");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn entry(uid: &str, listener: &TcpListener, state: &str) -> serde_json::Value {
+    target(uid, listener.local_addr().unwrap(), 1, state)
+}
+
+/// A connection that the node has opened, with the request that came on it.
+fn taken(listener: &TcpListener) -> (Client, Message) {
+    let mut line = Client::on(accepted(listener));
+    let request = line.answer();
+    (line, request)
+}
+
+/// What clients send behind a request before they leave.
+fn further() -> [(&'static str, Vec<u8>); 4] {
+    [
+        ("nothing", Vec::new()),
+        ("a byte", b"G".to_vec()),
+        ("a request", view()),
+        ("much", vec![b'x'; 48 << 10]),
+    ]
+}
+
+/// A request of whose body, too large to be held, only some has come: until a server takes it, it is not read.
+fn begun_upload(id: &str) -> Vec<u8> {
+    let head = format!(
+        "POST /submit/7f3a HTTP/1.1\r\nHost: n\r\nReq-Id: {id}\r\nReq-Deadline: 14.0\r\n\
+         Idempotency-Key: 5c0f6e1a\r\nContent-Length: 4000000\r\n\r\n"
+    );
+    [head.into_bytes(), vec![b'u'; 120 << 10]].concat()
+}
+
+#[test]
+fn what_waits_for_a_slot_is_not_sent_on_once_its_client_has_left() {
+    let a = listener();
+    let node = Node::new(&[entry("a", &a, "ready")]);
+    // As many as a server takes at first: what comes behind them is held.
+    let mut busy: Vec<(Client, Client, Message)> = Vec::new();
+    for _ in 0..2 {
+        let mut client = node.client();
+        client.send(&order());
+        let (line, request) = taken(&a);
+        busy.push((client, line, request));
+    }
+    let before = node.descriptors();
+    for going in GOINGS {
+        for (what, bytes) in further() {
+            let mut client = node.client();
+            client.send(&view());
+            client.send(&bytes);
+            came(&node, before + 1);
+            leave(client, going);
+            let_go_of(&node, before, &format!("{what}, {going:?}"));
+        }
+        let mut client = node.client();
+        client.send(&begun_upload("9b1f03bb00000001"));
+        came(&node, before + 1);
+        leave(client, going);
+        let_go_of(&node, before, &format!("half a body, {going:?}"));
+    }
+    // With the slots free again, the next to come is what is sent next, and on these connections or none.
+    for (client, line, _) in &mut busy {
+        line.send(&answer(200, "", "slip"));
+        assert_eq!(client.answer().body, b"slip");
+    }
+    rested();
+    let mut last = node.client();
+    last.send(&identified("9b1f03bb000000ff", "GET", "/view/1", "14.0", "", ""));
+    let (_, line, _) = &mut busy[1];
+    let request = line.answer();
+    assert_eq!(request.header("req-id"), Some("9b1f03bb000000ff"));
+    line.send(&answer(200, "", "last"));
+    assert_eq!(last.answer().body, b"last");
+    a.set_nonblocking(true).unwrap();
+    assert!(a.accept().is_err(), "no other connection was opened for what nobody waits for");
+}
+
+/// Waits until the node has so many descriptors, and so has taken a client in.
+fn came(node: &Node, descriptors: usize) {
+    let began = Instant::now();
+    while node.descriptors() < descriptors {
+        assert!(began.elapsed() < WITHIN, "the client was not taken in");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
