Lend to a small pool only its part of what a large one can't take

A trial that logs each send to a cold server shows who sent: 1,948 sends from 289 of 300 nodes, every one "pool 0 of 4 jobpool 2". The three servers that fell got 1,948, 1,719 and 357; the busiest cold one of the large pool 129. That deployment has no tenants: both labels hold four servers each that nobody's own requests fill, and a full large pool borrows of them. To each of 300 nodes a pool of four looks free, as it has nothing of its own there.

Ruled out: repeats of failed attempts (673 sends were first tries, and 5,223 declines came of the crowd, not before it), uneven slices of the few nodes that are left after seven in ten were killed (their own pool's servers stand).

At fault: `lenders`, which asked only for room. Now a smaller pool takes that part of such requests which its size is of the borrower's, by hash of request and pool.

The test fails without it: 400 attempts at eight servers, now within 128.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -266,7 +266,7 @@
             // A few that their classes tie to full servers must not stop the others.
             while let Some(at) = self.best_held(pool, &blocked) {
                 let ask = self.held[pool][at];
-                let lenders = self.lenders(pool, if ask.in_share { 1.0 } else { SPARE });
+                let lenders = self.lenders(pool, &ask);
                 if lenders.is_empty() {
                     break;
                 }
@@ -285,9 +285,12 @@
     }
 
     /// The pool itself while it has room, then others whose own tenants leave over half of theirs free: what
-    /// room is left in a pool may be that of servers which are avoided.
-    fn lenders(&self, pool: usize, part: f64) -> Vec<usize> {
-        let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND);
+    /// room is left in a pool may be that of servers which are avoided. A smaller pool takes its part of such
+    /// requests only: it looks free to each of many nodes, and all that a large one can't take would fill it.
+    fn lenders(&self, pool: usize, ask: &Ask) -> Vec<usize> {
+        let (part, size) = (if ask.in_share { 1.0 } else { SPARE }, self.members(pool).len() as f64);
+        let within = |p: usize| unit(hash(ask.id, p as u64)) * size <= self.pools[p].len() as f64;
+        let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND) && within(*p);
         let others = (0..self.pools.len()).filter(|p| *p != pool && !self.pools[*p].is_empty());
         self.has_room(pool, part).then_some(pool).into_iter().chain(others.filter(lends)).collect()
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -697,6 +697,34 @@
     assert!((6..=12).contains(&sent), "{sent} of 30 sent at once");
 }
 
+/// A small pool looks free to each of many nodes: what the large one could not take at any of them went to the same
+/// few servers, cold ones among them.
+#[test]
+fn a_small_pool_takes_its_part_of_what_a_large_one_cannot_take_at_many_nodes() {
+    let tenants = vec![Tenant { quota_per_s: 1_000.0, share: 0.005 }; 4];
+    let few = |rank| Settings { tenants: tenants.clone(), ..many(200, rank) };
+    let of = |node: &mut Node, tenants: &[Option<u32>]| -> BTreeSet<ServerId> {
+        reached(node, tenants).into_values().flatten().collect()
+    };
+    let mut labelled = BTreeSet::new();
+    for rank in (0..200).step_by(8) {
+        labelled
+            .extend(of(&mut Node::new(few(rank), servers(1..201)), &[Some(0), Some(1), Some(2), Some(3)]));
+    }
+    assert_eq!(labelled.len(), 8);
+    let mut lent = 0;
+    for rank in 0..200 {
+        let mut node = Node::new(few(rank), servers(1..201));
+        node.next = u64::from(rank) * 100;
+        for _ in 0..20 {
+            let (id, actions) = node.arrive(SAFE, None);
+            lent += sends(&actions, id).iter().filter(|server| labelled.contains(server)).count();
+        }
+    }
+    // Each server of the large pool has some six attempts now, and so many would have come here by chance.
+    assert!((1..=16 * 8).contains(&lent), "{lent} attempts at eight servers");
+}
+
 /// As many nodes and servers as a deployment may have: each node keeps to few, together they use all, and what a
 /// request or a list costs stays small.
 #[test]
