Write nothing for a request that nobody waits for, where cancelling is not allowed too

Found by reading: a client that left took its attempts along only by the module's `Cancel`, which it gives where the settings allow cancelling (`cancel_others`: "self.settings.cancelling && ..."). Where they do not, an attempt whose connection had not come up yet went on, and was written when it did; the same for a copy that was still connecting when the first one's answer had gone to the client.

What was never written is no attempt, so nothing needs to be allowed to end it. The engine knows of each attempt whether some of it may be on a socket, and once nobody waits for a request it ends those of which none is (`drop_unwritten`), as not sent: no failure of the server's.

The tests hold a connection back by a listener's full queue, a retry by two full servers of which one drains, and leave in eight ways each. Without the mend: "nothing, Closing, cancelling false: the client's leaving was not seen".

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -88,6 +88,8 @@
 
 struct Attempt {
     sent_at: Micros,
+    /// Set once some of it may be on a socket.
+    written: Rc<Cell<bool>>,
     /// When its answer began to pass through: it is the client's from then on.
     began_at: Option<Micros>,
     /// Gone once the module was told how it ended.
@@ -195,9 +197,8 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(ended) = open.attempts.get_mut(usize::from(attempt)) else { return };
         let Some(task) = ended.task.take() else { return };
-        if outcome == Outcome::Cancelled {
-            task.abort();
-        }
+        // One that is over by itself takes no notice.
+        task.abort();
         open.timed_out |= outcome == Outcome::TimedOut;
         // The server's time: from the client's last byte, where that came later, to the answer's first.
         let came = open.outgoing.came().map_or(now, |at| now - at.elapsed().as_micros() as Micros);
@@ -211,7 +212,7 @@
         let mut actions = Vec::new();
         while let Some(event) = self.queue.pop_front() {
             let about = match &event {
-                Event::Left(id) => Some(*id),
+                Event::Left(id) | Event::Woken(id) | Event::StreamBegan(id, _) => Some(*id),
                 Event::AttemptEnded(ended) => Some(ended.request),
                 _ => None,
             };
@@ -219,10 +220,23 @@
             for action in actions.drain(..) {
                 self.act(action);
             }
-            about.into_iter().for_each(|id| self.let_go(id));
+            if let Some(id) = about {
+                self.drop_unwritten(id);
+                self.let_go(id);
+            }
         }
     }
 
+    /// Ends what has not been written for a request that nobody waits for any more. To cancel what a server has may
+    /// not be allowed; this is no more than not to send it.
+    fn drop_unwritten(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id).filter(|open| open.answer.is_none()) else { return };
+        let unwritten = |a: &Attempt| a.task.is_some() && !a.written.get();
+        let unwritten: Vec<AttemptNo> =
+            (0..).zip(&open.attempts).filter(|(_, a)| unwritten(a)).map(|(n, _)| n).collect();
+        unwritten.into_iter().for_each(|n| self.attempt_ended(id, n, Outcome::NotSent));
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, server } => self.send(request, server),
@@ -278,11 +292,13 @@
         let number = open.attempts.len() as AttemptNo;
         let (servers, mailbox) = (self.servers.clone(), self.mailbox.clone());
         let (outgoing, answered) = (open.outgoing.clone(), open.answer.is_none());
+        let written = Rc::new(Cell::new(false));
+        let writes = written.clone();
         let task = tokio::task::spawn_local(async move {
             // Nothing is sent for a request after its answer.
             let attempted = match answered {
                 true => Attempted::Failed(Outcome::NotSent),
-                false => servers.attempt(&outgoing, server).await,
+                false => servers.attempt(&outgoing, server, &writes).await,
             };
             mailbox.send(match attempted {
                 Attempted::Failed(outcome) => Happening::Ended(request, number, outcome, None),
@@ -292,7 +308,7 @@
                 Attempted::Began(response) => Happening::Began(request, number, response),
             });
         });
-        open.attempts.push(Attempt { sent_at, began_at: None, task: Some(task.abort_handle()) });
+        open.attempts.push(Attempt { sent_at, written, began_at: None, task: Some(task.abort_handle()) });
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -409,12 +409,16 @@
         Ok(Connection { sender, line, run, idle_since: Instant::now(), _task })
     }
 
-    /// One attempt, to its end.
-    pub async fn attempt(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId) -> Attempted {
-        let begun = Cell::new(false);
+    /// One attempt, to its end; `begun` is set while it may be on a socket.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        outgoing: &Outgoing,
+        server: ServerId,
+        begun: &Cell<bool>,
+    ) -> Attempted {
         let ended = tokio::select! {
             biased;
-            ended = self.send(outgoing, server, &begun) => ended,
+            ended = self.send(outgoing, server, begun) => ended,
             () = outgoing.expired() => {
                 Err(if begun.get() { Outcome::TimedOut } else { Outcome::NotSent })
             }
@@ -422,7 +426,7 @@
         ended.unwrap_or_else(Attempted::Failed)
     }
 
-    /// Sends the request on an idle connection or a new one; `begun` is set once it may be on the socket.
+    /// Sends the request on an idle connection or a new one.
     async fn send(
         self: &Rc<Self>,
         outgoing: &Outgoing,
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -1,10 +1,10 @@
 //! Clients that leave while their requests wait: nothing of those is written to a server any more.
 
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 use super::peers::*;
 
@@ -72,6 +72,7 @@
 fn what_waits_for_a_slot_is_not_sent_on_once_its_client_has_left() {
     let a = listener();
     let node = Node::new(&[entry("a", &a, "ready")]);
+    Watch::accept(&node.discovery).goes_on();
     // As many as a server takes at first: what comes behind them is held.
     let mut busy: Vec<(Client, Client, Message)> = Vec::new();
     for _ in 0..2 {
@@ -113,6 +114,115 @@
     assert!(a.accept().is_err(), "no other connection was opened for what nobody waits for");
 }
 
+/// A listener whose queue is full: connections to it come up only once it has accepted those in the queue.
+fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+#[test]
+fn what_waits_for_a_connection_is_not_sent_on_once_its_client_has_left() {
+    // Also where attempts may not be cancelled: what was never written is none.
+    for cancelling in [true, false] {
+        let (a, queued) = full_listener();
+        let node = Node::configured(&[entry("a", &a, "ready")], |config| {
+            config["settings"]["allowed"]["cancelling"] = cancelling.into();
+            config["settings"]["allowed"]["connect_timeout_us"] = 10_000_000.into();
+        });
+        Watch::accept(&node.discovery).goes_on();
+        let before = node.descriptors();
+        for going in GOINGS {
+            for (what, bytes) in further() {
+                let mut client = node.client();
+                client.send(&order());
+                client.send(&bytes);
+                // The client's connection and the one that does not come up.
+                came(&node, before + 2);
+                leave(client, going);
+                let_go_of(&node, before, &format!("{what}, {going:?}, cancelling {cancelling}"));
+            }
+        }
+        for _ in &queued {
+            drop(accepted(&a));
+        }
+        let mut last = node.client();
+        last.send(&identified("9b1f03bb000000ff", "GET", "/view/1", "14.0", "", ""));
+        let (mut line, request) = taken(&a);
+        assert_eq!(request.header("req-id"), Some("9b1f03bb000000ff"));
+        line.send(&answer(200, "", "last"));
+        assert_eq!(last.answer().body, b"last");
+        a.set_nonblocking(true).unwrap();
+        assert!(a.accept().is_err(), "another connection was opened for what nobody waits for");
+    }
+}
+
+#[test]
+fn what_waits_for_a_retry_is_not_sent_on_once_its_client_has_left() {
+    for going in GOINGS {
+        for (what, bytes) in further() {
+            let (a, b) = (listener(), listener());
+            let node = Node::new(&[entry("a", &a, "ready"), entry("b", &b, "ready")]);
+            let mut watch = Watch::accept(&node.discovery);
+            // Two at each server fill both.
+            let mut clients: Vec<(String, Client)> = (0..4)
+                .map(|n| {
+                    let id = format!("9b1f03cc{n:08x}");
+                    let mut client = node.client();
+                    client.send(&identified(&id, "POST", "/order/1", "14.0", "", "yen"));
+                    (id, client)
+                })
+                .collect();
+            let ((mut at_a, declined), (_kept, _)) = (taken(&a), taken(&a));
+            let (mut at_b, answered) = taken(&b);
+            let (_other, _) = taken(&b);
+            let before = node.descriptors();
+            // The server drains and declines what it has: that waits for the other one.
+            watch.changes(42, &[entry("a", &a, "draining")]);
+            watch.goes_on();
+            at_a.send(&answer(503, "Srv-Declined: 1\r\nConnection: close\r\n", ""));
+            assert!(at_a.reader_ends());
+            drop(at_a);
+            let_go_of(&node, before - 1, "a connection that was closed");
+            let at = clients.iter().position(|(id, _)| declined.header("req-id") == Some(id)).unwrap();
+            let (_, mut client) = clients.remove(at);
+            client.send(&bytes);
+            leave(client, going);
+            let_go_of(&node, before - 2, &format!("{what}, {going:?}"));
+            at_b.send(&answer(200, "", "slip"));
+            let at = clients.iter().position(|(id, _)| answered.header("req-id") == Some(id)).unwrap();
+            assert_eq!(clients[at].1.answer().body, b"slip");
+            rested();
+            let mut last = node.client();
+            last.send(&identified("9b1f03cc000000ff", "GET", "/view/1", "14.0", "", ""));
+            assert_eq!(at_b.answer().header("req-id"), Some("9b1f03cc000000ff"));
+        }
+    }
+}
+
+#[test]
+fn an_attempt_ends_with_its_client_whatever_that_sent_before() {
+    let a = listener();
+    let node = Node::new(&[entry("a", &a, "ready")]);
+    for going in GOINGS {
+        for (_, bytes) in further() {
+            let mut client = node.client();
+            client.send(&order());
+            let (mut line, _) = taken(&a);
+            client.send(&bytes);
+            leave(client, going);
+            assert!(line.reader_ends());
+        }
+    }
+}
+
 /// Waits until the node has so many descriptors, and so has taken a client in.
 fn came(node: &Node, descriptors: usize) {
     let began = Instant::now();
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -242,6 +242,15 @@
     pub fn changes(&mut self, rev: u64, targets: &[Value]) {
         self.line(&json!({"rev": rev, "all": false, "targets": targets}).to_string());
     }
+
+    /// Goes on saying that nothing changes, for as long as the node listens.
+    pub fn goes_on(mut self) {
+        thread::spawn(move || {
+            while self.stream.write_all(b"1\r\n\n\r\n").is_ok() {
+                thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
 }
 
 /// A node process with its discovery; ended when dropped.
@@ -293,7 +302,22 @@
         node
     }
 
-    fn run(mut command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
+    /// A node whose configuration differs from the others'.
+    pub fn configured(targets: &[Value], change: impl FnOnce(&mut Value)) -> Node {
+        Node::run_with(program(), targets, 1024, false, change)
+    }
+
+    fn run(command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
+        Node::run_with(command, targets, sockets, operated, |_| {})
+    }
+
+    fn run_with(
+        mut command: Command,
+        targets: &[Value],
+        sockets: usize,
+        operated: bool,
+        change: impl FnOnce(&mut Value),
+    ) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": discovery.local_addr().unwrap().to_string(),
@@ -302,6 +326,7 @@
         if operated {
             config["operator"] = "127.0.0.1:0".into();
         }
+        change(&mut config);
         let path = write(&config.to_string());
         let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
