Look again before a connection is ended or cut off: a request may have begun

Found by reading the closing of idle connections. The request was read in part, so that is no crossing that its client may repeat: it was lost. In the same way a head that became whole between the look that found it late and the cut was cut off.

The task now looks at what is so when it acts: a connection with something of a request is kept, and ends with the answer where all do; one that is no longer stuck is not cut off.

Ruled out: the looks themselves, which see begun heads and the kernel's bytes (`spare_since`).

The tests force the order: the connection's turn comes behind more tasks than run between two looks at the kernel.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -323,6 +323,11 @@
         connection.close.notify_one();
     }
 
+    /// Takes that back: a request has begun to come, and the connection ends with its answer if it has to.
+    fn keep(&self, connection: &Connection) {
+        self.closing.set(self.closing.get() - usize::from(connection.closing.replace(false)));
+    }
+
     /// Ends connections that have stood without a request for long, and cuts off those that are stuck.
     pub async fn sweep(&self) {
         loop {
@@ -372,17 +377,25 @@
         // Its time for heads runs from the last answer on, not from a head's first byte.
         builder.header_read_timeout(None).max_buf_size(BUFFER_MOST);
         let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
-        tokio::select! {
-            // What has come is read before the connection is closed.
-            biased;
-            _ = serving.as_mut() => return,
-            () = connection.cut.notified() => return,
-            () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
-        }
-        tokio::select! {
-            biased;
-            _ = serving => {}
-            () = connection.cut.notified() => {}
+        loop {
+            tokio::select! {
+                // What has come is read before the connection is closed, and may be the request, or its end, that
+                // was missed when this was asked for.
+                biased;
+                _ = serving.as_mut() => return,
+                () = connection.cut.notified() => {
+                    if connection.is_stuck() {
+                        return;
+                    }
+                }
+                () = connection.close.notified() => {
+                    if connection.seen.has_begun() || !connection.seen.is_quiet() {
+                        self.keep(connection);
+                    } else {
+                        serving.as_mut().graceful_shutdown();
+                    }
+                }
+            }
         }
     }
 
@@ -659,3 +672,93 @@
     });
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+    use std::net::TcpStream as Peer;
+
+    use tokio::task::{LocalSet, spawn_local, yield_now};
+
+    use super::*;
+
+    const HEALTH: &[u8] = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
+
+    fn clients() -> Rc<Clients> {
+        let class = r#"{"name":"view","idempotency":"pure","goal_time_us":100000,"deadline_us":1000000}"#;
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{{"services":[{class}]}}}}"#
+        );
+        // Tests run beside each other, each on a thread of its own.
+        let (process, thread) = (std::process::id(), std::thread::current().id());
+        let path = std::env::temp_dir().join(format!("dunelink-clients-{process}-{thread:?}.json"));
+        std::fs::write(&path, text).unwrap();
+        let config = Rc::new(Config::read(path.to_str().unwrap()).unwrap());
+        std::fs::remove_file(path).unwrap();
+        let room = Room::new(config.memory);
+        let servers = Rc::new(Servers::new(&config, room.clone()));
+        let (mailbox, _) = Mailbox::new(1);
+        Rc::new(Clients::new(config, mailbox, servers, room))
+    }
+
+    /// A peer whose connection is kept and idle, and that connection.
+    async fn kept(clients: &Rc<Clients>) -> (Peer, Rc<Connection>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut peer = Peer::connect(listener.local_addr().unwrap()).unwrap();
+        clients.clone().adopt(1, listener.accept().await.unwrap().0);
+        peer.write_all(HEALTH).unwrap();
+        let connection = clients.connections.borrow()[&1].clone();
+        while connection.fresh.get() || connection.spare_since().is_none() {
+            yield_now().await;
+        }
+        assert!(peer.read(&mut [0; 1024]).unwrap() > 0);
+        (peer, connection)
+    }
+
+    /// What is answered where a connection is told to end while this request is on its way to it: the kernel is
+    /// asked for news before the connection has its turn, as happens under load.
+    fn answered(end: impl FnOnce(&Clients, &Connection), first: &[u8], rest: &[u8]) -> String {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let clients = clients();
+            let (mut peer, connection) = kept(&clients).await;
+            // More than have their turn between two looks at the kernel.
+            (0..200).for_each(|_| drop(spawn_local(async {})));
+            end(&clients, &connection);
+            peer.write_all(first).unwrap();
+            while !connection.seen.has_begun() && !clients.connections.borrow().is_empty() {
+                yield_now().await;
+            }
+            let _ = peer.write_all(rest);
+            // What is closed is closed by whoever holds it last.
+            drop(connection);
+            peer.set_nonblocking(true).unwrap();
+            let peer = TcpStream::from_std(peer).unwrap();
+            let mut answer = vec![0; 1024];
+            let read = loop {
+                peer.readable().await.unwrap();
+                match peer.try_read(&mut answer) {
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    read => break read.unwrap_or(0),
+                }
+            };
+            answer.truncate(read);
+            String::from_utf8(answer).unwrap()
+        })
+    }
+
+    #[test]
+    fn a_request_that_begins_as_its_connection_is_told_to_end_is_answered() {
+        let end = |clients: &Clients, connection: &Connection| clients.end(connection);
+        let answer = answered(end, &HEALTH[..9], &HEALTH[9..]);
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    }
+
+    /// As when the rest of a slow head has come between the look that found it late and the cut.
+    #[test]
+    fn a_connection_that_is_no_longer_stuck_is_not_cut_off() {
+        let cut = |_: &Clients, connection: &Connection| connection.cut.notify_one();
+        let answer = answered(cut, &HEALTH[..9], &HEALTH[9..]);
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    }
+}
