Give the last answers well before SIGKILL is due, whatever the deadlines are

Found by reading the shutdown. SIGKILL may come the longest deadline (3 s at most) and 0.7 s after SIGTERM. The node added up its stages instead: 0.5 s in which it takes connections in, up to 0.1 s for those in the kernel, then the longest deadline and 0.1 s: with a longest deadline under 2.8 s the last call came 0.08 s before SIGKILL, or with it where all connections were busy (`accept` waits for room then). A request that came on a kept connection 1 s after SIGTERM, to a server that hangs, had no answer when the node was killed.

The last call is a point in time now, counted from SIGTERM: 0.4 s after the longest deadline, and so 0.3 s before SIGKILL; at 3 s and more it stays at 3.4 s. What comes on a kept connection after it is refused and not begun.

Ruled out: requests of the first 0.7 s, whose own time is up before SIGKILL.

The tests end the node as the platform does, beside half a request, one that waits, one declined, half an answer and SIGHUP. Without the mend: "an answer before the node is killed" fails; the other two hold as before.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -437,9 +437,15 @@
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
         let taken = self.read(request, seen, by).await?;
         let outgoing = taken.outgoing.clone();
-        // Where all others are busy too, a refusal needs no server and makes room.
-        let crowded = self.busy.get() > self.served();
-        let response = if crowded { refused(Some(CROWDED)) } else { self.wait(taken, seen).await? };
+        let response = if self.last_call.is_cancelled() {
+            // Not sent on at all: others take it at once.
+            refused(None)
+        } else if self.busy.get() > self.served() {
+            // Where all others are busy too, a refusal needs no server and makes room.
+            refused(Some(CROWDED))
+        } else {
+            self.wait(taken, seen).await?
+        };
         let next = match outgoing.came() {
             None => Next::Cut,
             Some(_) if chunked => Next::Blurred,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -25,7 +25,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::body::Room;
 use crate::clients::Clients;
@@ -37,14 +37,16 @@
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
-/// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
-const STAY_MOST: Duration = Duration::from_millis(3400);
+/// SIGKILL may come so long after SIGTERM as the longest deadline is, taken as 3 s where it is longer, and 0.7 s
+/// more. All has to be answered by then, and what comes in the last 0.3 s is not begun.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+const LAST_CALL: Duration = Duration::from_millis(400);
 /// For how long answers that have begun may still go to their clients.
 const TRANSFERS_MOST: Duration = Duration::from_secs(60);
 /// How often a node that waits for its first servers looks for them.
 const ABLE_LOOK: Duration = Duration::from_millis(10);
-/// What comes on top of the longest deadline, and what the last answers may take.
-const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// For how long connections that the kernel still has may wait for room.
+const LAST_ACCEPT: Duration = Duration::from_millis(100);
 
 async fn run(passed: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
     // From the first moment: unhandled, both signals end the process.
@@ -97,6 +99,7 @@
     });
 
     terminate.recv().await;
+    let last_call = Instant::now() + config.longest().min(DEADLINE_MOST) + LAST_CALL;
     eprintln!("dunelink: {} is leaving", config.name);
     clients.leave(handed_over);
     if handed_over {
@@ -107,10 +110,9 @@
         sleep(STILL_ACCEPT).await;
         stop.notify_one();
         // Where all connections are busy, the kernel's would be waited for too long.
-        let _ = timeout(LAST_ANSWERS, accepting).await;
+        let _ = timeout(LAST_ACCEPT, accepting).await;
     }
-    let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
-    if timeout(wait, clients.close()).await.is_err() {
+    if timeout_at(last_call, clients.close()).await.is_err() {
         clients.last_call();
         // What still passes through to a client is not cut off; the platform ends the process in time.
         let _ = timeout(TRANSFERS_MOST, clients.close()).await;
--- /dev/null
+++ b/tests/node/ending.rs
@@ -0,0 +1,109 @@
+//! SIGTERM beside all that may happen at that moment: what was taken has its answer before SIGKILL is due.
+
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+use super::peers::*;
+
+/// A second is the longest deadline here; SIGKILL is due 0.7 s later.
+fn short(targets: &[serde_json::Value], sockets: usize) -> Node {
+    Node::configured(targets, |config| {
+        config["limits"]["sockets"] = sockets.into();
+        for class in config["settings"]["services"].as_array_mut().unwrap() {
+            class["deadline_us"] = 1_000_000.into();
+            class["goal_time_us"] = 500_000.into();
+        }
+    })
+}
+
+const KILLED_AFTER: Duration = Duration::from_millis(1700);
+
+/// Ends the node as the platform does.
+fn killed(node: &mut Node, told: Instant) {
+    std::thread::sleep((told + KILLED_AFTER).saturating_duration_since(Instant::now()));
+    node.kill();
+}
+
+#[test]
+fn what_comes_late_on_kept_connections_is_answered_before_the_node_is_killed() {
+    let server = Server::new(|_, _| Act::Wait);
+    // So few descriptors that begun requests hold all connections, and the last to come wait in the kernel.
+    let mut node = short(&[ready("a", &server)], 60);
+    let order = order();
+    let mut begun: Vec<Client> = (0..30).map(|_| node.client()).collect();
+    begun.iter_mut().for_each(|client| client.send(&order[..20]));
+    // The last that were taken in have said something by now.
+    rested();
+    let told = Instant::now();
+    node.terminate();
+    std::thread::sleep((told + Duration::from_millis(1000)).saturating_duration_since(Instant::now()));
+    begun[0].send(&order[20..]);
+    let mut client = begun.swap_remove(0);
+    let answer = std::thread::spawn(move || client.whole_answer());
+    killed(&mut node, told);
+    let answer = answer.join().unwrap().expect("an answer before the node is killed");
+    assert!([502, 503, 504].contains(&answer.status()), "{answer:?}");
+}
+
+#[test]
+fn a_request_half_read_at_sigterm_has_its_answer() {
+    let server = Server::new(|_, _| ok("slip"));
+    let mut node = short(&[ready("a", &server)], 1024);
+    let (submit, view) = (submit(), view());
+    let (mut head, mut body) = (node.client(), node.client());
+    head.send(&view[..25]);
+    body.send(&submit[..submit.len() - 2]);
+    rested();
+    node.terminate();
+    // Told by now: the front hears no.
+    while node.health() == 200 {}
+    head.send(&view[25..]);
+    body.send(&submit[submit.len() - 2..]);
+    for client in [&mut head, &mut body] {
+        let answer = client.answer();
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(client.ended());
+    }
+    assert!(node.exit().success());
+}
+
+#[test]
+fn what_waits_or_is_half_answered_at_sigterm_has_its_answer_beside_sighup() {
+    let a = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut node = Node::new(&[target("a", a.local_addr().unwrap(), 1, "ready")]);
+    Watch::accept(&node.discovery).goes_on();
+    let (mut first, mut second, mut held) = (node.client(), node.client(), node.client());
+    let taken = |client: &mut Client| {
+        client.send(&order());
+        let mut line = Client::on(accepted(&a));
+        line.answer();
+        line
+    };
+    let mut half = taken(&mut first);
+    let mut declines = taken(&mut second);
+    // Both of the server's places are taken: this one waits.
+    held.send(&view());
+    half.send(b"HTTP/1.1 200 X\r\nContent-Length: 100000\r\n\r\n");
+    half.send(&vec![b'h'; 70_000]);
+    node.terminate();
+    let moved = TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reconfigure(&node.config_with(&moved));
+    while node.health() == 200 {}
+    Watch::accept(&moved).goes_on();
+    // What was declined goes again, what waited goes at all, and what had begun goes on.
+    declines.send(&answer(503, "Srv-Declined: 1\r\nConnection: close\r\n", ""));
+    for _ in 0..2 {
+        let mut line = Client::on(accepted(&a));
+        line.answer();
+        line.send(&answer(200, "Connection: close\r\n", "slip"));
+        assert!(line.reader_ends());
+    }
+    half.send(&vec![b'h'; 30_000]);
+    assert_eq!(first.answer().body.len(), 100_000);
+    for client in [&mut second, &mut held] {
+        let answer = client.answer();
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"slip"[..]));
+        assert!(client.ended());
+    }
+    assert!(node.exit().success());
+}
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -398,6 +398,10 @@
         line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
     }
 
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
