Know of news within 6 s also where two watches in a row fall silent

Found by reading the watch. What a silent watch misses counts as told 6 s after it fell silent; one of discovery's lines comes every 2 s. Three faults, all of the time until a watch that tells is up again:

Now 2.4 s: two of them and the waits between end within 5.4 s. The waits no longer grow when a watch was opened and told nothing. Now what counts is the end of the last whole line. What answers a node is an agent on its own machine, at no cost: it is asked as soon as where lists are pushed.

Ruled out: revisions and half lists, which the tests of lists cover (what was held stays, the next watch asks from it).

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -15,16 +15,16 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
 use crate::engine::{Happening, Mailbox};
 use crate::servers::Servers;
 
-/// A watch that says nothing for this long is dead: a line comes every 2 s. A change counts as told after
-/// 6 s at the latest, so a second watch has to be up by then.
-const SILENCE: Duration = Duration::from_millis(3200);
+/// A watch that says nothing for this long is dead: a line comes every 2 s. What it misses counts as told after 6 s,
+/// and the next watch may be silent too: the one after that has to be up by then, the waits between included.
+const SILENCE: Duration = Duration::from_millis(2400);
 /// How long a connection, and the head of its answer, may take. After a move to another address the watch
 /// has to be up within 4 s, a second try included.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
@@ -128,41 +128,34 @@
     let mut rev = config.known.rev;
     let mut failures = 0;
     let mut random = fastrand::Rng::with_seed(config.seed);
-    let asked = config.settings.discovery != Discovery::Pushed;
-    let mut moved = false;
+    if config.settings.discovery != Discovery::Pushed {
+        subscribe.notified().await;
+    }
     loop {
-        if asked && !moved {
-            subscribe.notified().await;
-        }
         let at = *address.borrow_and_update();
-        let heard = |update: &Update| {
+        // A watch that was opened tells nothing until something changes.
+        let heard = |update: Option<&Update>| {
             failures = 0;
-            reader.tell(update, false, &servers, &engine);
+            update.into_iter().for_each(|update| reader.tell(update, false, &servers, &engine));
         };
         let why = tokio::select! {
             biased;
             // The old address takes no new watch and ends the one it has.
             true = changed(&mut address) => {
-                moved = true;
                 failures = 0;
                 continue;
             }
             Err(why) = watch_at(at, &mut rev, heard) => why,
         };
-        moved = false;
         failures += 1;
         // A line for each try of a long outage would say nothing new.
         if failures == 1 {
             eprintln!("dunelink: discovery: {why}; watching anew from {rev}");
         }
-        if asked {
-            // When to ask again is the module's to say.
-            engine.send(Happening::Module(Event::DiscoveryFailed));
-        } else {
-            let longer = AGAIN * failures.min(AGAIN_MOST);
-            // A move must not wait for what befell the old address.
-            let _ = timeout(longer + longer.mul_f64(random.f64()), changed(&mut address)).await;
-        }
+        // Lists that are asked for are no exception: what answers is on this machine, at no cost to any other, and
+        // the time until news count as told is one. A move must not wait for what befell the old address.
+        let longer = AGAIN * failures.min(AGAIN_MOST);
+        let _ = timeout(longer + longer.mul_f64(random.f64()), changed(&mut address)).await;
     }
 }
 
@@ -178,7 +171,7 @@
 async fn watch_at(
     address: SocketAddr,
     rev: &mut u64,
-    mut tell: impl FnMut(&Update),
+    mut tell: impl FnMut(Option<&Update>),
 ) -> Result<Infallible, Box<dyn Error>> {
     let stream = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
@@ -191,19 +184,26 @@
     if response.status() != StatusCode::OK {
         return Err(format!("it answered {}", response.status()).into());
     }
+    tell(None);
     let mut body = response.into_body();
     let mut lines = Lines::new();
+    let mut due = Instant::now() + SILENCE;
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| "the watch fell silent")?;
+        let frame = timeout_at(due, body.frame()).await.map_err(|_| "the watch fell silent")?;
         let Ok(data) = frame.ok_or("the watch ended")??.into_data() else { continue };
         for byte in data {
-            let Some(update) = lines.take(byte)? else { continue };
+            let update = lines.take(byte)?;
+            // A list that comes byte by byte and to no end is silence too.
+            if lines.between() {
+                due = Instant::now() + SILENCE;
+            }
+            let Some(update) = update else { continue };
             // What is held goes before what came late; a new watch tells what has changed since.
             if update.rev < *rev {
                 return Err(format!("a list of {}, older than the one held", update.rev).into());
             }
             *rev = update.rev;
-            tell(&update);
+            tell(Some(&update));
         }
     }
 }
@@ -224,6 +224,11 @@
         Lines { bytes: Vec::new(), depth: 0, in_string: false, escaped: false, blank: true }
     }
 
+    /// Whether nothing has come of a next list, and so all that came was whole.
+    fn between(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Takes in a byte; gives a list that it ends.
     fn take(&mut self, byte: u8) -> Result<Option<Update>, Box<dyn Error>> {
         if byte == b'\n' {
--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -1,5 +1,7 @@
 //! Lists as discovery pushes them: long, indented, broken off, old.
 
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
 
 use crate::operating::until;
@@ -63,3 +65,46 @@
     watch.line(&format!("{indented}\n{whole}"));
     until("the whole list holds", || serves(&node, "other"));
 }
+
+/// What the first one misses counts as told 6 s after it fell silent.
+#[test]
+fn a_second_watch_may_be_silent_too_and_news_are_still_known_in_time() {
+    let (held, other) = (Server::new(|_, _| ok("held")), Server::new(|_, _| ok("other")));
+    let node = Node::new(&[ready("a", &held)]);
+    let mut first = Watch::accept(&node.discovery);
+    first.line("");
+    let silent = Instant::now();
+    let _second = Watch::accept(&node.discovery);
+    let mut third = Watch::accept(&node.discovery);
+    third.line(&list(60, true, &[ready("b", &other)]).to_string());
+    until("the list holds", || serves(&node, "other"));
+    assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
+}
+
+#[test]
+fn a_list_that_comes_to_no_end_is_silence() {
+    let server = Server::new(|_, _| ok("held"));
+    let node = Node::new(&[ready("a", &server)]);
+    Watch::accept(&node.discovery).repeats(" ");
+    Watch::accept(&node.discovery).goes_on();
+    assert!(serves(&node, "held"));
+}
+
+/// Where lists are asked for, the wait until they are asked for again grows; a move does not wait for it.
+#[test]
+fn where_lists_are_asked_for_a_move_is_followed_at_once_too() {
+    let server = Server::new(|_, _| ok("held"));
+    let node = Node::configured(&[ready("a", &server)], |config| {
+        config["settings"]["discovery"] = "subscribe".into();
+        config["settings"]["obligations"]["ask_every_us"] = 20_000_000.into();
+    });
+    for _ in 0..4 {
+        drop(Watch::accept(&node.discovery));
+    }
+    let moved = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reconfigure(&node.config_with(&moved));
+    let told = Instant::now();
+    Watch::accept(&moved).goes_on();
+    assert!(told.elapsed() < Duration::from_millis(3500), "{:?}", told.elapsed());
+    assert!(serves(&node, "held"));
+}
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -244,9 +244,15 @@
     }
 
     /// Goes on saying that nothing changes, for as long as the node listens.
-    pub fn goes_on(mut self) {
+    pub fn goes_on(self) {
+        self.repeats("\n");
+    }
+
+    /// Goes on saying this, for as long as the node listens.
+    pub fn repeats(mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
         thread::spawn(move || {
-            while self.stream.write_all(b"1\r\n\n\r\n").is_ok() {
+            while self.stream.write_all(chunk.as_bytes()).is_ok() {
                 thread::sleep(Duration::from_millis(500));
             }
         });
