Lend by size only where a node's own counts tell nothing of the lender

Lending by size ("Lend to a small pool only ...") held at small fleets too, where a node sees by its own attempts whether another pool is free, and kept requests from room that was there. What it mends comes of many nodes that see nothing of each other; so it holds where own counts tell nothing (`blindness`).

Ruled out: to fade it in with blindness.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -285,11 +285,12 @@
     }
 
     /// The pool itself while it has room, then others whose own tenants leave over half of theirs free: what
-    /// room is left in a pool may be that of servers which are avoided. A smaller pool takes its part of such
-    /// requests only: it looks free to each of many nodes, and all that a large one can't take would fill it.
+    /// room is left in a pool may be that of servers which are avoided. At a node that sees little of the load
+    /// a smaller pool takes its part of such requests only: it looks free to each of many, and would be filled.
     fn lenders(&self, pool: usize, ask: &Ask) -> Vec<usize> {
         let (part, size) = (if ask.in_share { 1.0 } else { SPARE }, self.members(pool).len() as f64);
-        let within = |p: usize| unit(hash(ask.id, p as u64)) * size <= self.pools[p].len() as f64;
+        let warranted = |p: usize| unit(hash(ask.id, p as u64)) * size <= self.pools[p].len() as f64;
+        let within = |p: usize| self.blindness() == 0.0 || warranted(p);
         let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND) && within(*p);
         let others = (0..self.pools.len()).filter(|p| *p != pool && !self.pools[*p].is_empty());
         self.has_room(pool, part).then_some(pool).into_iter().chain(others.filter(lends)).collect()
