--- a/src/decide.rs
+++ b/src/decide.rs
@@ -285,8 +285,8 @@
     }
 
     /// The pool itself while it has room, then others whose own tenants leave over half of theirs free: what
-    /// room is left in a pool may be that of servers which are avoided. At a node that sees little of the load
-    /// a smaller pool takes its part of such requests only: it looks free to each of many, and would be filled.
+    /// room is left in a pool may be that of servers which are avoided. Where a node sees little of the load,
+    /// a smaller pool takes its part of such requests only: it looks free to each of many nodes.
     fn lenders(&self, pool: usize, ask: &Ask) -> Vec<usize> {
         let (part, size) = (if ask.in_share { 1.0 } else { SPARE }, self.members(pool).len() as f64);
         let warranted = |p: usize| unit(hash(ask.id, p as u64)) * size <= self.pools[p].len() as f64;
