--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -295,6 +295,13 @@
         Node::run(command, targets, sockets, true)
     }
 
+    /// The same with another configuration.
+    pub fn operated_with(targets: &[Value], folder: &Path, change: impl FnOnce(&mut Value)) -> Node {
+        let mut command = program();
+        command.env("TMPDIR", folder);
+        Node::run_with(command, targets, 1024, true, change)
+    }
+
     /// A process of a node that is passed its listening socket.
     pub fn passed(targets: &[Value], listener: &TcpListener, folder: &Path) -> Node {
         Node::passed_with(targets, listener, folder, 1024)
