--- a/tests/node/ending.rs
+++ b/tests/node/ending.rs
@@ -16,6 +16,9 @@
     })
 }
 
+/// How many connections of clients a node with 36 descriptors has, and all of them with requests that wait.
+const FULL: usize = 6;
+
 const KILLED_AFTER: Duration = Duration::from_millis(1700);
 
 /// Ends the node as the platform does.
@@ -45,6 +48,34 @@
     assert!([502, 503, 504].contains(&answer.status()), "{answer:?}");
 }
 
+/// All connections end at the last call, and what waited in the kernel for one of them to end is taken then.
+#[test]
+fn what_the_kernel_still_holds_at_the_last_call_is_answered() {
+    let server = Server::new(|_, _| Act::Wait);
+    let mut node = short(&[ready("a", &server)], 36);
+    let order = order();
+    let mut held: Vec<Client> = (0..FULL).map(|_| node.client()).collect();
+    held.iter_mut().for_each(|client| client.send(&order[..20]));
+    rested();
+    let told = Instant::now();
+    node.terminate();
+    let mut queued: Vec<Client> = (0..5).map(|_| node.client()).collect();
+    queued.iter_mut().for_each(|client| client.send(&view()));
+    std::thread::sleep((told + Duration::from_millis(1200)).saturating_duration_since(Instant::now()));
+    // Some are sent, the others held: all wait until the last call.
+    for (n, client) in held.iter_mut().enumerate() {
+        client.send(&order[20..]);
+        assert!(n > 0 || server.request().1.first.starts_with("POST"));
+    }
+    let answers = std::thread::spawn(move || {
+        let answered = |mut client: Client| client.whole_answer().map(|answer| answer.status());
+        queued.into_iter().map(answered).collect::<Vec<_>>()
+    });
+    killed(&mut node, told);
+    let answers = answers.join().unwrap();
+    assert!(answers.iter().all(Option::is_some), "{answers:?}");
+}
+
 #[test]
 fn a_request_half_read_at_sigterm_has_its_answer() {
     let server = Server::new(|_, _| ok("slip"));
