--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -108,3 +108,22 @@
     assert!(told.elapsed() < Duration::from_millis(3500), "{:?}", told.elapsed());
     assert!(serves(&node, "held"));
 }
+
+#[test]
+fn a_list_half_read_at_sighup_is_dropped_whatever_the_old_address_still_says() {
+    let (held, other) = (Server::new(|_, _| ok("held")), Server::new(|_, _| ok("other")));
+    let node = Node::new(&[ready("a", &held)]);
+    let mut old = Watch::accept(&node.discovery);
+    let indented = serde_json::to_string_pretty(&list(70, true, &[ready("b", &other)])).unwrap();
+    let (first, rest) = indented.split_at(indented.len() / 2);
+    old.line(first);
+    let moved = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reconfigure(&node.config_with(&moved));
+    let mut new = Watch::accept(&moved);
+    assert_eq!(new.request.first, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
+    // The old one may have been closed by now.
+    old.tries(rest);
+    assert!(serves(&node, "held"));
+    new.changes(60, &[target("a", held.address, 1, "draining"), ready("c", &other)]);
+    until("the change holds", || serves(&node, "other"));
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -693,6 +693,30 @@
     assert!(TcpStream::connect(node.address).is_err());
 }
 
+#[test]
+fn a_configuration_without_tenants_zones_or_limits_is_followed() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::configured(&[ready("a", &server)], |config| {
+        for list in ["parties", "zones", "skus", "zone"] {
+            config["settings"].as_object_mut().unwrap().remove(list);
+        }
+        config.as_object_mut().unwrap().remove("seed");
+        config["limits"] = serde_json::json!({"memory_mb": 1, "sockets": 30});
+        config["settings"]["services"].as_array_mut().unwrap().truncate(2);
+        config["settings"]["services"][0]["name"] = "chart".into();
+    });
+    let chart = request("GET", "/chart/1", "14.0", "", "");
+    assert_eq!(node.client().ask(&chart).body, b"slip");
+    assert_eq!(node.client().ask(&submit()).body, b"slip");
+    for unknown in [view(), order()] {
+        assert_eq!(node.client().ask(&unknown).status(), 404);
+    }
+    // More clients than there are connections for come one after the other.
+    for _ in 0..20 {
+        assert_eq!(node.client().ask(&chart).status(), 200);
+    }
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_an_exit() {
     let nothing = || program().env_remove("GW_CONFIG").spawn().unwrap();
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -239,6 +239,12 @@
         self.stream.write_all(chunk.as_bytes()).unwrap();
     }
 
+    /// A line that the node may not wait for any more.
+    pub fn tries(&mut self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let _ = self.stream.write_all(chunk.as_bytes());
+    }
+
     pub fn changes(&mut self, rev: u64, targets: &[Value]) {
         self.line(&json!({"rev": rev, "all": false, "targets": targets}).to_string());
     }
