--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -239,9 +239,30 @@
         self.stream.write_all(chunk.as_bytes()).unwrap();
     }
 
+    /// A line that the node may not wait for any more.
+    pub fn tries(&mut self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        let _ = self.stream.write_all(chunk.as_bytes());
+    }
+
     pub fn changes(&mut self, rev: u64, targets: &[Value]) {
         self.line(&json!({"rev": rev, "all": false, "targets": targets}).to_string());
     }
+
+    /// Goes on saying that nothing changes, for as long as the node listens.
+    pub fn goes_on(self) {
+        self.repeats("\n");
+    }
+
+    /// Goes on saying this, for as long as the node listens.
+    pub fn repeats(mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        thread::spawn(move || {
+            while self.stream.write_all(chunk.as_bytes()).is_ok() {
+                thread::sleep(Duration::from_millis(500));
+            }
+        });
+    }
 }
 
 /// A node process with its discovery; ended when dropped.
@@ -280,6 +301,13 @@
         Node::run(command, targets, sockets, true)
     }
 
+    /// The same with another configuration.
+    pub fn operated_with(targets: &[Value], folder: &Path, change: impl FnOnce(&mut Value)) -> Node {
+        let mut command = program();
+        command.env("TMPDIR", folder);
+        Node::run_with(command, targets, 1024, true, change)
+    }
+
     /// A process of a node that is passed its listening socket.
     pub fn passed(targets: &[Value], listener: &TcpListener, folder: &Path) -> Node {
         Node::passed_with(targets, listener, folder, 1024)
@@ -293,7 +321,22 @@
         node
     }
 
-    fn run(mut command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
+    /// A node whose configuration differs from the others'.
+    pub fn configured(targets: &[Value], change: impl FnOnce(&mut Value)) -> Node {
+        Node::run_with(program(), targets, 1024, false, change)
+    }
+
+    fn run(command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
+        Node::run_with(command, targets, sockets, operated, |_| {})
+    }
+
+    fn run_with(
+        mut command: Command,
+        targets: &[Value],
+        sockets: usize,
+        operated: bool,
+        change: impl FnOnce(&mut Value),
+    ) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": discovery.local_addr().unwrap().to_string(),
@@ -302,6 +345,7 @@
         if operated {
             config["operator"] = "127.0.0.1:0".into();
         }
+        change(&mut config);
         let path = write(&config.to_string());
         let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
@@ -373,6 +417,10 @@
         line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
     }
 
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
