Begin no repeat of a keyed request behind its window, however late its connection is

What was seen: the settings count a repeat's window from the sending of the first attempt that may have run, to the sending of the repeat. The module looked at it when it decided (src/decide.rs, `allowed`: `now + step >= sent_at + window`), and the node wrote the repeat when its connection had come up (src/node/servers.rs, `send`), up to `connect_timeout_us` later.

Ruled out: that drains cover it (the server's run is looked at between connect and write, its window was not); that the time-out does (the request's own deadline is longer than the window).

Mend: `Action::Send` says from when on no attempt of the request may begin. It is told with the first repeat and holds for all of the request's attempts, the first one's too if its connection is still coming up. A first attempt that is alone may begin at any time.

--- a/src/api.rs
+++ b/src/api.rs
@@ -314,6 +314,9 @@
         request: RequestId,
         /// Where to.
         server: ServerId,
+        /// From when on no attempt of this request may begin, if ever: a connection may come up late, and servers
+        /// may have forgotten by then that they ran it. Such an attempt ends as [`Outcome::NotSent`].
+        by: Option<Micros>,
     },
     /// Final answer: turned away, and harmless to try again.
     Refuse {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -312,21 +312,6 @@
         self.settings.cold_from + (1.0 - self.settings.cold_from) * warmed
     }
 
-    fn allowed(&self, job: &Job, to: &ServerEntry) -> bool {
-        let again = |a: &Attempt| match self.settings.classes[job.ask.class].effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { window, .. } if self.now + self.settings.step >= a.sent_at + window => false,
-            Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { group: Group::Zone, .. } => a.to.zone == to.zone,
-            Effect::Keyed { group: Group::Cell, .. } => a.to.cell == to.cell,
-        };
-        !job.passed_on
-            && job.attempts.len() < usize::from(self.settings.max_attempts)
-            && (job.out() == 0 || self.settings.second_copies)
-            && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(a))
-    }
-
     /// Whether this part of the pool's room is not yet filled. One attempt always has room, at a node of many
     /// one for each of its first choices: its part of a limit that is not learned yet would be none.
     fn has_room(&self, pool: usize, part: f64) -> bool {
@@ -409,6 +394,7 @@
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
+        let by = self.jobs.get(&id).and_then(|job| self.repeat_by(job));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let server = &mut self.servers[i];
         server.in_flight += 1;
@@ -416,7 +402,8 @@
         self.upkeep.tried(server.entry.id);
         job.held = false;
         job.attempts.push(Attempt { to: server.entry, sent_at: self.now, fate: Fate::Out, working: true });
-        self.actions.push(Action::Send { request: id, server: server.entry.id });
+        let server = server.entry.id;
+        self.actions.push(Action::Send { request: id, server, by });
         self.wake(id);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod api;
 mod decide;
 mod fleet;
+mod repeats;
 mod state;
 mod transfer;
 pub mod wire;
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -538,7 +538,8 @@
         headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
         let once = class.effect == Effect::Unsafe;
         let method = head.method;
-        let outgoing = Rc::new(Outgoing { method, target, headers, upload, patience, came, once });
+        let begin_by = Cell::new(None);
+        let outgoing = Rc::new(Outgoing { method, target, headers, upload, patience, came, once, begin_by });
         Ok(Taken { request, outgoing, _unique: unique })
     }
 
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -239,7 +239,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, server } => self.send(request, server),
+            Action::Send { request, server, by } => self.send(request, server, by),
             Action::Refuse { request, retry_after } => {
                 let stay_away = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 self.answer(request, Answer::Refused(stay_away));
@@ -286,9 +286,11 @@
         self.queue.push_back(Event::Woken(token));
     }
 
-    fn send(&mut self, request: RequestId, server: ServerId) {
+    fn send(&mut self, request: RequestId, server: ServerId, by: Option<Micros>) {
         let sent_at = self.now();
         let Some(open) = self.open.get_mut(&request) else { return };
+        let by = by.map(|by| self.started + Duration::from_micros(by.saturating_sub(self.started_us)));
+        open.outgoing.begin_by.set(by);
         let number = open.attempts.len() as AttemptNo;
         let (servers, mailbox) = (self.servers.clone(), self.mailbox.clone());
         let (outgoing, answered) = (open.outgoing.clone(), open.answer.is_none());
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -20,7 +20,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::body::{Beginning, Download, End, Payload, Progress, Reply, Room, Upload};
@@ -66,6 +66,8 @@
     pub came: Instant,
     /// Whether it must never run twice.
     pub once: bool,
+    /// From when on no attempt may begin: servers may have forgotten that they ran it.
+    pub begin_by: Cell<Option<Instant>>,
 }
 
 impl Outgoing {
@@ -445,9 +447,19 @@
                 }
                 None => {
                     let there = self.whereabouts(server).ok_or(Outcome::NotSent)?;
-                    (self.connect(there).await?, None)
+                    let connection = match outgoing.begin_by.get() {
+                        Some(by) => {
+                            timeout_at(by, self.connect(there)).await.map_err(|_| Outcome::NotSent)?
+                        }
+                        None => self.connect(there).await,
+                    };
+                    (connection?, None)
                 }
             };
+            // It may have run elsewhere while the connection came up.
+            if outgoing.begin_by.get().is_some_and(|by| Instant::now() >= by) {
+                return Err(Outcome::NotSent);
+            }
             // A drain may have been heard of while the connection came up.
             if self.whereabouts(server) != Some(connection.run) {
                 return Err(Outcome::NotSent);
--- /dev/null
+++ b/src/repeats.rs
@@ -0,0 +1,28 @@
+//! Whether, where and until when a request may be sent once more. Part of the decisions, like `src/decide.rs`.
+
+use crate::api::*;
+use crate::decide::Balancer;
+use crate::state::{Fate, Job};
+
+impl Balancer {
+    pub(crate) fn allowed(&self, job: &Job, to: &ServerEntry) -> bool {
+        let again = |to_before: &ServerEntry| match self.settings.classes[job.ask.class].effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { group: Group::Zone, .. } => to_before.zone == to.zone,
+            Effect::Keyed { group: Group::Cell, .. } => to_before.cell == to.cell,
+        };
+        !job.passed_on
+            && job.attempts.len() < usize::from(self.settings.max_attempts)
+            && (job.out() == 0 || self.settings.second_copies)
+            && self.repeat_by(job).is_none_or(|by| self.now < by)
+            && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(&a.to))
+    }
+
+    /// When servers begin to forget the request, if they do: what reaches them from then on may run again.
+    pub(crate) fn repeat_by(&self, job: &Job) -> Option<Micros> {
+        let Effect::Keyed { window, .. } = self.settings.classes[job.ask.class].effect else { return None };
+        let first = job.attempts.iter().find(|a| a.fate != Fate::NeverRan)?;
+        Some((first.sent_at + window).saturating_sub(self.settings.step))
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -360,7 +360,8 @@
         }
         let short = |us: Micros| u32::try_from(us).unwrap_or(u32::MAX).to_le_bytes();
         match action {
-            Action::Send { request, server } => {
+            // There an attempt counts as sent at once, however late its connection is.
+            Action::Send { request, server, by: _ } => {
                 let out = self.record(1);
                 out.extend(request.to_le_bytes());
                 out.extend(((server >> 16) as u32).to_be_bytes());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
 /// Where the actions send the request, in order.
 pub fn sends(actions: &[Action], of: RequestId) -> Vec<ServerId> {
     let to = |a: &Action| match a {
-        Action::Send { request, server } if *request == of => Some(*server),
+        Action::Send { request, server, .. } if *request == of => Some(*server),
         _ => None,
     };
     actions.iter().filter_map(to).collect()
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -43,7 +43,7 @@
 }
 
 /// A connection that the node has opened, with the request that came on it.
-fn taken(listener: &TcpListener) -> (Client, Message) {
+pub fn taken(listener: &TcpListener) -> (Client, Message) {
     let mut line = Client::on(accepted(listener));
     let request = line.answer();
     (line, request)
--- a/tests/node/moving.rs
+++ b/tests/node/moving.rs
@@ -1,10 +1,11 @@
-//! Servers that drain, start anew or are taken out while a request waits for a connection to them.
+//! Servers that drain, start anew, are taken out or have forgotten a request while it waits for a connection to them.
 
 use std::net::TcpListener;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
-use super::leaving::full_listener;
+use super::leaving::{full_listener, taken};
 use super::peers::*;
 
 fn entry(uid: &str, listener: &TcpListener, state: &str) -> Value {
@@ -73,3 +74,46 @@
     hears_nothing(&a, queued.len(), &node);
     assert_eq!(client.answer().body, b"other");
 }
+
+/// A repeat may be decided within the window and its connection come up behind it: it would run again.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+    const WINDOW: Duration = Duration::from_millis(1500);
+    let a = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (b, queued) = full_listener();
+    let node = Node::configured(&[entry("a", &a, "ready")], |config| {
+        config["settings"]["allowed"]["connect_timeout_us"] = 10_000_000.into();
+        config["settings"]["services"][1]["window_us"] = (WINDOW.as_micros() as u64).into();
+    });
+    let mut watch = Watch::accept(&node.discovery);
+    // Two connections: the request goes on one, and the end of the other shows that the drain is known.
+    let mut clients = [node.client(), node.client()];
+    clients.iter_mut().for_each(|client| client.send(&view()));
+    let [(mut idle, _), (mut used, _)] = [taken(&a), taken(&a)];
+    for line in [&mut idle, &mut used] {
+        line.send(&answer(200, "", "slip"));
+        rested();
+    }
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().status(), 200));
+    let mut client = node.client();
+    client.send(&submit());
+    assert!(used.answer().first.starts_with("POST"));
+    let ran = Instant::now();
+    watch.changes(42, &[entry("a", &a, "draining"), entry("b", &b, "ready")]);
+    assert!(idle.reader_ends());
+    let before = node.descriptors();
+    drop(used);
+    // The repeat waits for a connection in place of the one that broke.
+    while node.descriptors() < before && ran.elapsed() < WINDOW {}
+    std::thread::sleep((ran + WINDOW).saturating_duration_since(Instant::now()));
+    for _ in queued {
+        drop(accepted(&b));
+    }
+    // Nothing can be promised: it may have run, and may not run again.
+    assert!([502, 504].contains(&client.answer().status()));
+    b.set_nonblocking(true).unwrap();
+    while let Ok((stream, _)) = b.accept() {
+        stream.set_nonblocking(false).unwrap();
+        assert!(Client::on(stream).whole_answer().is_none(), "it was sent again");
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -87,7 +87,7 @@
     fn judge(&mut self, action: &Action) {
         let now = self.node.now;
         match *action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, .. } => {
                 let asked = self.asked.get_mut(&request).expect("a request that was asked");
                 assert!(!asked.closed, "sent after its end");
                 assert!(!asked.passed_on, "sent without its body");
@@ -337,7 +337,7 @@
                 actions.extend(node.end(id, 0, Outcome::Served, 20 * MS));
             }
             for action in actions {
-                if let Action::Send { request, server } = action {
+                if let Action::Send { request, server, .. } = action {
                     sent.entry(server).or_default().push(node.now);
                     due.insert((node.now + 20 * MS, request));
                 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -85,6 +85,29 @@
     assert!(failed(&actions, id), "its servers have forgotten it");
 }
 
+/// Connections may come up late: a repeat says until when it may begin. Windows of the first attempt are 400 ms here,
+/// and the clock is looked at every 5 ms.
+#[test]
+fn only_the_repeat_of_a_keyed_request_that_may_have_run_has_to_begin_by_a_time() {
+    let by = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { by, .. } = a { Some(*by) } else { None })
+    };
+    for (class, tied) in [(SAFE, false), (BY_CELL, true), (BY_ALL, true)] {
+        let mut node = Node::new(settings(), servers(1..41));
+        let (id, first) = node.arrive(class, Some(0));
+        assert_eq!(by(&first), Some(None));
+        node.now += 20 * MS;
+        // What never ran anywhere may begin at any time, and counts from there.
+        assert_eq!(by(&node.end(id, 0, Outcome::ConnectFailed, 20 * MS)), Some(None));
+        let sent = node.now;
+        node.now += 30 * MS;
+        let until = tied.then_some(sent + 395 * MS);
+        assert_eq!(by(&node.end(id, 1, Outcome::Reset, 30 * MS)), Some(until));
+        node.now += 30 * MS;
+        assert_eq!(by(&node.end(id, 2, Outcome::TurnedAway, 30 * MS)), Some(until));
+    }
+}
+
 #[test]
 fn every_request_is_answered_before_the_client_gives_up() {
     let mut node = Node::new(settings(), servers(1..11));
@@ -485,7 +508,7 @@
             actions.extend(node.end(id, 0, Outcome::Served, node.now - sent_at));
         }
         for action in actions {
-            if let Action::Send { request, server } = action {
+            if let Action::Send { request, server, .. } = action {
                 let free = &mut free_at[server as usize];
                 *free = node.now.max(*free) + work;
                 out.push((*free, node.now, request));
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -149,7 +149,7 @@
 #[test]
 fn a_reply() {
     let mut reply = Reply::default();
-    reply.action(3, Action::Send { request: 0x0007_dde1_5d3a_91c4, server: SERVER });
+    reply.action(3, Action::Send { request: 0x0007_dde1_5d3a_91c4, server: SERVER, by: None });
     reply.action(3, Action::Wake { after: 500_000, token: 0x4d });
     reply.action(5, Action::Refuse { request: 1, retry_after: 9 });
     reply.action(5, Action::Fail(2));
