Do not take a body that its client breaks off for its server's failure

What was seen, by reading and by a test on the real node: an upload that passes through and breaks off ends its attempt as ConnectFailed (src/node/servers.rs, `send`: `!outgoing.may_be_written`), and the module counts that against the server.

Mend: a body that has failed never came whole, so the attempt was not sent (NotSent), which tells nothing of the server.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -287,6 +287,14 @@
         }
     }
 
+    /// Whether its client has not brought it.
+    pub fn has_failed(&self) -> bool {
+        match self {
+            Upload::Whole { .. } => false,
+            Upload::Streamed(stream) => matches!(stream.progress(), Progress::Failed(_)),
+        }
+    }
+
     /// Whether it can be sent, or sent again.
     pub fn is_kept(&self) -> bool {
         match self {
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -494,6 +494,8 @@
                     begun.set(false);
                     continue;
                 }
+                // Its last byte never came, and that was not the server's doing.
+                Err(_) if outgoing.upload.has_failed() => return Err(Outcome::NotSent),
                 // A server begins a request when its last byte has come.
                 Err(_) if !outgoing.may_be_written(head, written) => return Err(Outcome::ConnectFailed),
                 Err(error) => {
--- a/tests/node/size.rs
+++ b/tests/node/size.rs
@@ -149,6 +149,48 @@
     }
 }
 
+/// Where attempts may not be cancelled their end tells of the server, and this one's is its client's doing.
+#[test]
+fn an_upload_that_its_client_breaks_off_is_not_its_servers_failure() {
+    let listeners = [0, 1].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let targets = [0, 1].map(|n| target(&n.to_string(), listeners[n].local_addr().unwrap(), 1, "ready"));
+    let node = Node::configured(&targets, |config| {
+        config["settings"]["allowed"]["cancelling"] = false.into();
+    });
+    listeners.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
+    let body = varied(300_000);
+    let (mut met, mut broken) = (0, None);
+    // Both answer alike, but for one that can't: the server that is met then has what it takes to be met again.
+    for n in 0..200 {
+        let mut client = node.client();
+        client.send(&head("POST", "/order/1", "Content-Length: 300000\r\n"));
+        client.send(&body[..100_000]);
+        let began = Instant::now();
+        let (at, stream) = loop {
+            let came = |n: usize| Some((n, listeners[n].accept().ok()?.0));
+            if let Some(found) = came(0).or_else(|| came(1)) {
+                break found;
+            }
+            assert!(began.elapsed() < WITHIN, "nobody connects");
+        };
+        stream.set_nonblocking(false).unwrap();
+        let mut line = Client::on(stream);
+        met += usize::from(broken == Some(at));
+        if n > 40 && broken.is_none() {
+            line.stream.peek(&mut [0]).unwrap();
+            drop(client);
+            assert!(line.reader_ends());
+            broken = Some(at);
+        } else {
+            client.send(&body[100_000..]);
+            assert_eq!(line.answer().body.len(), body.len());
+            line.send(&answer(200, "Connection: close\r\n", "paid"));
+            assert_eq!(client.answer().body, b"paid");
+        }
+    }
+    assert!(met >= 30, "{met} of 158 uploads came to the server whose client had left");
+}
+
 #[test]
 fn a_large_body_that_never_began_to_go_is_sent_elsewhere() {
     let server = Server::new(|_, _| ok("noted"));
