Send no body on whole whose client has left behind it

Ruled out: that the kernel's word is there to be heard earlier (the end is unsent until the window opens); bodies of 1, 2 and 3 MB without a tenant passed only because they went last; reading on into a buffer needs room for each client.

Lines at fault: src/node/body.rs, `Stream::poll`, which passed the last piece on as it came. Mend: when it has come the kernel is asked once more, and the piece is withheld if the client's end stood behind it. What has gone of the attempt is not whole, so that nothing runs; it ends as not sent.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -37,6 +37,8 @@
 
 pub const TOO_LARGE: Wrong = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB");
 const TOO_SLOW: Wrong = (StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
+/// What nobody is there to hear.
+pub const LEFT: Wrong = (StatusCode::BAD_REQUEST, "the client has left");
 const BROKEN: Wrong = (StatusCode::BAD_REQUEST, "the body is broken");
 
 /// Room for what is held whole, of all requests and answers.
@@ -205,16 +207,20 @@
             Progress::Failed(wrong) => return Poll::Ready(Some(Err(wrong))),
         }
         let mut rest = self.rest.borrow_mut();
-        match ready!(rest.poll(cx)) {
-            Ok(Some(data)) => {
-                if self.length == Some(rest.came) {
+        let polled = ready!(rest.poll(cx));
+        let ends = match &polled {
+            Ok(Some(_)) => self.length == Some(rest.came),
+            Ok(None) => true,
+            Err(_) => false,
+        };
+        // A client's end is behind what it has sent, and may show only now. Without its last byte nothing is run.
+        let polled = if ends && self.seen.has_closed() { Err(LEFT) } else { polled };
+        match polled {
+            Ok(data) => {
+                if ends {
                     self.whole(rest.came);
                 }
-                Poll::Ready(Some(Ok(data)))
-            }
-            Ok(None) => {
-                self.whole(rest.came);
-                Poll::Ready(None)
+                Poll::Ready(data.map(Ok))
             }
             Err(wrong) => {
                 self.gets_on(Progress::Failed(wrong));
--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Progress, Reply, Room, Upload, Wrong};
+use crate::body::{LEFT, Progress, Reply, Room, Upload, Wrong};
 use crate::config::{ClassRule, Config, LONGEST};
 use crate::engine::{Answer, Happening, Mailbox};
 use crate::servers::{BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets};
@@ -62,9 +62,6 @@
 /// What a client is told when the node has no connection left to serve it with.
 const CROWDED: Duration = Duration::from_secs(1);
 
-/// What nobody is there to hear.
-const LEFT: Wrong = (StatusCode::BAD_REQUEST, "the client has left");
-
 /// What the node means to do with its clients. In all phases it serves those that come; in all but the first
 /// it ends each connection with its next answer.
 #[derive(Clone, Copy, PartialEq)]
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -104,6 +104,14 @@
         while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
     }
 
+    /// Whether it has, as far as the kernel knows by now, and has sent nothing more that is still to be read.
+    pub fn has_closed(&self) -> bool {
+        match peek(self.stream.as_ref()) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Writes what the kernel takes, once it takes some.
     fn poll_write(
         &self,
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -114,6 +114,62 @@
     assert!(a.accept().is_err(), "no other connection was opened for what nobody waits for");
 }
 
+/// The end of a client is behind what it has sent, and of a body too large to be held that stays with the client's
+/// kernel until a server takes it.
+#[test]
+fn a_body_whose_client_left_behind_it_does_not_come_whole_to_a_server() {
+    for coded in [false, true] {
+        let a = listener();
+        let node = Node::new(&[entry("a", &a, "ready")]);
+        Watch::accept(&node.discovery).goes_on();
+        let mut busy: Vec<(Client, Client, Message)> = Vec::new();
+        for _ in 0..2 {
+            let mut client = node.client();
+            client.send(&order());
+            let (line, request) = taken(&a);
+            busy.push((client, line, request));
+        }
+        let before = node.descriptors();
+        let mut client = node.client();
+        let body = "u".repeat(300_000);
+        let (length, body) = match coded {
+            false => (format!("Content-Length: {}\r\n", body.len()), body),
+            true => {
+                ("Transfer-Encoding: chunked\r\n".into(), format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len()))
+            }
+        };
+        let head = format!(
+            "POST /order/7f3a HTTP/1.1\r\nHost: n\r\nReq-Id: 9b1f03bb0000000{}\r\nReq-Owner: acme\r\n\
+             Req-Deadline: 14.0\r\n{length}\r\n",
+            u8::from(coded)
+        );
+        client.send(&[head, body].concat().into_bytes());
+        came(&node, before + 1);
+        leave(client, Going::Closing);
+        rested();
+        let mut last = node.client();
+        let id = format!("9b1f03bb000000f{}", u8::from(coded));
+        // Of its class, so that it goes behind the other.
+        last.send(&identified(&id, "POST", "/order/1", "14.0", "", "yen"));
+        for (client, line, _) in &mut busy {
+            line.send(&answer(200, "Connection: close\r\n", "slip"));
+            assert_eq!(client.answer().body, b"slip");
+        }
+        // What is broken off is no request.
+        let (mut line, request) = loop {
+            let mut line = Client::on(accepted(&a));
+            if let Some(request) = line.whole_answer() {
+                break (line, request);
+            }
+        };
+        assert_eq!(request.header("req-id"), Some(&id[..]));
+        line.send(&answer(200, "Connection: close\r\n", "last"));
+        assert_eq!(last.answer().body, b"last");
+        drop((busy, last));
+        let_go_of(&node, before - 4, "the body's client");
+    }
+}
+
 /// A listener whose queue is full: connections to it come up only once it has accepted those in the queue.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
