End an attempt with its client where the server does not have it whole

What was seen by a test on the real node: where the settings do not allow cancelling, a client that broke off half way through a large body left its attempt out, with the server's connection, a slot, and the client's own descriptor, which the body holds ("socket:[328680]" and "socket:[328678]" still open in /proc 3 s later; with cancelling allowed both were gone at once). While the server read nothing on, that lasted for the request's whole time and then counted against the server as timed out.

Ruled out: the client's connection itself (it was served to its end); the watch.

Lines at fault: src/node/engine.rs, `drop_unwritten`, which took an attempt for sent from its first byte on. A server begins a request with its last byte: one that has not come whole has not been sent, and to end it is no cancelling.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -227,11 +227,12 @@
         }
     }
 
-    /// Ends what has not been written for a request that nobody waits for any more. To cancel what a server has may
-    /// not be allowed; this is no more than not to send it.
+    /// Ends what has not been written, or not whole, for a request that nobody waits for any more. To cancel what a
+    /// server has may not be allowed; this is no more than not to send it.
     fn drop_unwritten(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id).filter(|open| open.answer.is_none()) else { return };
-        let unwritten = |a: &Attempt| a.task.is_some() && !a.written.get();
+        let half = open.outgoing.came().is_none();
+        let unwritten = |a: &Attempt| a.task.is_some() && (half || !a.written.get());
         let unwritten: Vec<AttemptNo> =
             (0..).zip(&open.attempts).filter(|(_, a)| unwritten(a)).map(|(n, _)| n).collect();
         unwritten.into_iter().for_each(|n| self.attempt_ended(id, n, Outcome::NotSent));
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -1,5 +1,6 @@
 //! Clients that leave while their requests wait: nothing of those is written to a server any more.
 
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -170,6 +171,31 @@
     }
 }
 
+/// What has not come whole to its server was not sent: also where attempts may not be cancelled, it ends with its
+/// client. A body in chunks has no length to fall short of; only its last chunk may look like its end.
+#[test]
+fn an_attempt_whose_body_is_half_sent_ends_with_its_client() {
+    for cancelling in [true, false] {
+        let a = listener();
+        let node = Node::configured(&[entry("a", &a, "ready")], |config| {
+            config["settings"]["allowed"]["cancelling"] = cancelling.into();
+        });
+        Watch::accept(&node.discovery).goes_on();
+        let before = node.descriptors();
+        let mut client = node.client();
+        let head = String::from_utf8(request("POST", "/order/1", "14.0", "", "")).unwrap();
+        client.send(head.replace("Content-Length: 0", "Transfer-Encoding: chunked").as_bytes());
+        // The server reads nothing yet, and so the node takes no more of the body than buffers hold.
+        let chunk = [&b"10000\r\n"[..], &[b'u'; 0x10000], b"\r\n"].concat();
+        client.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+        while client.stream.write_all(&chunk).is_ok() {}
+        let mut line = Client::on(accepted(&a));
+        leave(client, Going::Resetting);
+        let_go_of(&node, before, "the client that broke off");
+        assert!(line.whole_answer().is_none(), "cancelling {cancelling}: it came whole");
+    }
+}
+
 /// A listener whose queue is full: connections to it come up only once it has accepted those in the queue.
 pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
