Give a held repeat up when its window ends

What was seen, by reading and by a test on the module: a keyed request that may have run and is held for a place again is tied to its window; when that ended while it was held, no server was allowed any more, and it was held on to its client's deadline (in the test 990 ms with a window of 400 ms), though what is given up has to be answered at once. Whether anything is allowed was asked only as an attempt ended (src/decide.rs, `attempt_ended`; `look_at` did not).

Ruled out: that lateness ends it (it does so only where a late answer is worth nothing, or nothing was ever sent).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -421,7 +421,8 @@
         let hopeless = (job.ask.aim_at as f64 - TIMELY * self.times[job.ask.class].usual) as Micros;
         let held = |at: Micros| job.held.then_some(at);
         let give_up_at = Some(job.give_up_at).filter(|_| !job.passed_on);
-        let times = [give_up_at, self.overdue_at(job), held(hopeless), held(job.place_until)];
+        let repeat_by = self.repeat_by(job).and_then(held);
+        let times = [give_up_at, self.overdue_at(job), held(hopeless), held(job.place_until), repeat_by];
         let next = times.into_iter().flatten().filter(|t| *t > self.now).min().unwrap_or(self.now);
         if next > self.now && (job.wake_at <= self.now || next < job.wake_at) {
             self.actions.push(Action::Wake { after: next - self.now, token: id });
@@ -438,7 +439,8 @@
         // To be told late that it was never sent costs a client more than a poor chance of a turn is worth.
         let waited = self.now >= job.place_until && job.never_ran();
         let late = self.too_late(&job.ask) && (worthless || waited);
-        let hopeless = self.ready.is_empty() || late || waited && !job.ask.in_share;
+        let forgotten = self.repeat_by(job).is_some_and(|by| by <= self.now);
+        let hopeless = self.ready.is_empty() || late || forgotten || waited && !job.ask.in_share;
         if self.now >= job.give_up_at || job.held && hopeless {
             return self.give_up(id);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -108,6 +108,28 @@
     }
 }
 
+/// It can't be sent any more, and its client is told so at once: not when its time is up.
+#[test]
+fn a_held_repeat_is_given_up_when_its_window_ends() {
+    let mut s = settings();
+    s.classes[SAFE].worth = 5.0;
+    let mut node = Node::new(s, servers(1..2));
+    let (id, first) = node.arrive(BY_CELL, None);
+    assert_eq!(sends(&first, id), [1]);
+    let (other, held) = node.arrive(SAFE, None);
+    assert_eq!(sends(&held, other), []);
+    node.now += 20 * MS;
+    // The one that is worth more takes the place.
+    let actions = node.end(id, 0, Outcome::Reset, 20 * MS);
+    assert_eq!((sends(&actions, other), sends(&actions, id)), (vec![1], vec![]));
+    let mut after = 20 * MS;
+    while !failed(&node.wake(id, 5 * MS), id) {
+        after += 5 * MS;
+        assert!(after < 400 * MS, "held though its servers have forgotten it");
+    }
+    assert!(after >= 390 * MS, "given up while it might have been sent: {after}");
+}
+
 #[test]
 fn every_request_is_answered_before_the_client_gives_up() {
     let mut node = Node::new(settings(), servers(1..11));
