Let a request that finds no descriptor for a connection wait for one

What was seen, by reading and by a test on the real node: with all places for connections to servers taken, or with no descriptor left on the machine, `connect` ended the attempt at once as NotSent (src/node/servers.rs). The module held the request and sent it to the next server, which ended likewise, until its attempts were used up: a refusal ("HTTP/1.1 503 Service Unavailable") within a millisecond, while four servers were ready and a connection came free 200 ms later. A refusal is due only when none is ready.

Mend: such an attempt waits for a place, or looks for a descriptor every 10 ms, for as long as a server is given to come up; its request is waited for by its client as in any other wait, and dropped with it. Taking a place is also exact now: one that was made free counts once its connection is closed.

--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -25,7 +25,7 @@
 
 use crate::body::{Beginning, Download, End, Payload, Progress, Reply, Room, Upload};
 use crate::config::Config;
-use crate::socket::{Line, Place, ServerSocket};
+use crate::socket::{Line, Place, Places, ServerSocket};
 use crate::trust::{Thrift, Trust};
 
 /// What a connection may buffer; it bounds headers too.
@@ -49,6 +49,8 @@
 const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
 const SILENT: Duration = Duration::from_secs(1);
+/// How long to wait for a descriptor until the next try.
+const NO_SOCKETS: Duration = Duration::from_millis(10);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -178,7 +180,7 @@
     /// Those that operators have taken out.
     out: RefCell<HashSet<ServerId>>,
     returns: Cell<u64>,
-    open: Rc<Cell<usize>>,
+    places: Rc<Places>,
     most: Cell<usize>,
     connect_timeout: Duration,
     thrift: Thrift,
@@ -230,7 +232,7 @@
             named: RefCell::default(),
             out: RefCell::default(),
             returns: Cell::new(0),
-            open: Rc::default(),
+            places: Rc::default(),
             most: Cell::new(config.sockets / 3),
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
             thrift: Thrift::new(Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART)),
@@ -252,7 +254,7 @@
     /// Sets how many connections to servers there may be.
     pub fn limit(&self, most: usize) {
         self.most.set(most);
-        while self.open.get() > most && self.evict() {}
+        while self.places.taken() > most && self.evict() {}
     }
 
     /// Whether a list has named this server.
@@ -385,18 +387,32 @@
         }
     }
 
-    async fn connect(&self, run: Run) -> Result<Connection, Outcome> {
-        if self.open.get() >= self.most() && !self.evict() {
-            return Err(Outcome::NotSent);
+    /// A place for a connection, once there is one; an idle connection makes room for it.
+    async fn place(&self) -> Place {
+        while self.places.taken() >= self.most() {
+            self.evict();
+            self.places.freed().await;
         }
-        let place = Place::taken(&self.open);
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if out_of_sockets(&error) => {
-                self.evict();
-                return Err(Outcome::NotSent);
+        self.places.take()
+    }
+
+    /// Opens a connection. For a place, and for a descriptor where the machine has fewer than the node was told, it is
+    /// waited no longer than for a server: all others are as badly off, and to try them at once would use up the
+    /// request's attempts.
+    async fn connect(&self, run: Run) -> Result<Connection, Outcome> {
+        let by = Instant::now() + self.connect_timeout;
+        let (place, stream) = loop {
+            let place = timeout_at(by, self.place()).await.map_err(|_| Outcome::NotSent)?;
+            match timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await {
+                Ok(Ok(stream)) => break (place, stream),
+                Ok(Err(error)) if out_of_sockets(&error) && Instant::now() < by => {
+                    drop(place);
+                    self.evict();
+                    sleep(NO_SOCKETS).await;
+                }
+                Ok(Err(error)) if out_of_sockets(&error) => return Err(Outcome::NotSent),
+                _ => return Err(Outcome::ConnectFailed),
             }
-            _ => return Err(Outcome::ConnectFailed),
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let line = Rc::new(Line::new(stream, place));
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -248,19 +248,37 @@
     SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
 }
 
-/// A place in the budget for connections to servers.
-pub struct Place(Rc<Cell<usize>>);
+/// The connections to servers that there are.
+#[derive(Default)]
+pub struct Places {
+    taken: Cell<usize>,
+    /// Told when one is free again.
+    freed: Notify,
+}
+
+impl Places {
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
 
-impl Place {
-    pub fn taken(open: &Rc<Cell<usize>>) -> Place {
-        open.set(open.get() + 1);
-        Place(open.clone())
+    /// Ends when a place has become free.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
+    pub fn take(self: &Rc<Places>) -> Place {
+        self.taken.set(self.taken.get() + 1);
+        Place(self.clone())
     }
 }
 
+/// A place in the budget for connections to servers.
+pub struct Place(Rc<Places>);
+
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.taken.set(self.0.taken.get() - 1);
+        self.0.freed.notify_one();
     }
 }
 
--- a/tests/node/moving.rs
+++ b/tests/node/moving.rs
@@ -1,4 +1,5 @@
-//! Servers that drain, start anew, are taken out or have forgotten a request while it waits for a connection to them.
+//! Requests that wait for a connection: to servers that drain, start anew, are taken out or have forgotten them
+//! meanwhile, or for a descriptor.
 
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
@@ -117,3 +118,51 @@
         assert!(Client::on(stream).whole_answer().is_none(), "it was sent again");
     }
 }
+
+/// No connection is left, and all that there are have requests on them that wait.
+#[test]
+fn a_request_that_finds_no_descriptor_for_a_connection_waits_for_one() {
+    let listeners: Vec<TcpListener> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let targets: Vec<Value> =
+        (0..).zip(&listeners).map(|(n, l)| entry(&format!("s{n}"), l, "ready")).collect();
+    // Two of 36 are for connections to servers; where its machine has no more, the node is not told before.
+    for (sockets, starved) in [(1024, true), (36, false)] {
+        let node = Node::with(&targets, sockets);
+        Watch::accept(&node.discovery).goes_on();
+        let mut busy: Vec<(Client, Client)> = Vec::new();
+        for _ in 0..2 {
+            let mut client = node.client();
+            client.send(&order());
+            busy.push((client, next(&listeners)));
+        }
+        let mut waiting = node.client();
+        if starved {
+            assert_eq!(waiting.ask(HEALTH).status(), 200);
+            node.starve();
+        }
+        waiting.send(&order());
+        rested();
+        assert!(!waiting.has_something(), "{}", waiting.answer().first);
+        let (mut client, mut line) = busy.remove(0);
+        line.send(&answer(200, "Connection: close\r\n", "first"));
+        assert_eq!(client.answer().body, b"first");
+        drop((client, line));
+        next(&listeners).send(&answer(200, "", "second"));
+        assert_eq!(waiting.answer().body, b"second");
+    }
+}
+
+/// The next connection to any of these, with the request on it read.
+fn next(listeners: &[TcpListener]) -> Client {
+    listeners.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
+    let began = Instant::now();
+    loop {
+        if let Some(stream) = listeners.iter().find_map(|listener| Some(listener.accept().ok()?.0)) {
+            stream.set_nonblocking(false).unwrap();
+            let mut line = Client::on(stream);
+            assert!(line.answer().first.starts_with("POST"));
+            return line;
+        }
+        assert!(began.elapsed() < WITHIN, "nobody connects");
+    }
+}
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -410,6 +410,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Lets it have no more descriptors than it holds.
+    pub fn starve(&self) {
+        let held = |n: &usize| Path::new(&format!("/proc/{}/fd/{n}", self.child.id())).is_symlink();
+        let least = (0..).find(|n| !held(n)).unwrap();
+        let args = ["--pid".into(), self.child.id().to_string(), format!("--nofile={least}")];
+        assert!(Command::new("prlimit").args(args).status().unwrap().success());
+    }
+
     /// The most memory that it has held, in bytes.
     pub fn memory(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
