Let the wait for a discovery that turns calls away grow as before

The test is right: a discovery that is short of room and turns calls away at once is to be asked ever less often.

Mend: the wait grows as it did, and is cut only by the time that the failed try itself took, so that both are over in 1.7 s: a try that finds silence takes 1 s of them, one that is turned away none.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -30,9 +30,11 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 /// The wait before a watch is begun anew lies between this and twice this, times the failures so far.
 const AGAIN: Duration = Duration::from_millis(150);
-/// The most failures that the wait grows with. What discovery has at its return counts as told at once, and a server
-/// that drains may be sent something new for 2 s: a try that failed just then and the wait behind it have to be over.
-const AGAIN_MOST: u32 = 2;
+/// The most failures that the wait grows with.
+const AGAIN_MOST: u32 = 4;
+/// What discovery has at its return counts as told at once, and a server that drains may be sent something new for 2 s:
+/// a try that finds silence and the wait behind it are over by then, where it returned right after the try began.
+const HEARD_WITHIN: Duration = Duration::from_millis(1700);
 /// The longest list; one of some thousand servers, however it is indented.
 const LONGEST_LIST: usize = 2 << 20;
 
@@ -133,7 +135,7 @@
         subscribe.notified().await;
     }
     loop {
-        let at = *address.borrow_and_update();
+        let (at, began) = (*address.borrow_and_update(), Instant::now());
         // A watch that was opened tells nothing until something changes.
         let heard = |update: Option<&Update>| {
             failures = 0;
@@ -155,7 +157,8 @@
         }
         // Lists that are asked for are no exception: what answers is on this machine, at no cost to any other, and
         // the time until news count as told is one. A move must not wait for what befell the old address.
-        let longer = AGAIN * failures.min(AGAIN_MOST);
+        let left = HEARD_WITHIN.saturating_sub(began.elapsed()) / 2;
+        let longer = (AGAIN * failures.min(AGAIN_MOST)).min(left.max(AGAIN));
         let _ = timeout(longer + longer.mul_f64(random.f64()), changed(&mut address)).await;
     }
 }
