--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -26,6 +26,7 @@
 
 /// A world that draws what happens next, and judges every action.
 struct World {
+    settings: Settings,
     node: Node,
     dice: fastrand::Rng,
     told: BTreeMap<ServerId, ServerEntry>,
@@ -44,7 +45,22 @@
     s.cancelling = dice.bool();
     s.second_copies = dice.bool();
     s.max_attempts = dice.u16(1..5);
-    s.balancers = dice.u32(1..4);
+    s.balancers = if dice.bool() { dice.u32(1..4) } else { dice.u32(1..400) };
+    s.rank = dice.u32(..s.balancers);
+    // Any effects, however short their windows, and any times.
+    for class in &mut s.classes {
+        let group = *dice.choice(&[Group::All, Group::Zone, Group::Cell]).unwrap();
+        let window = dice.u64(..600 * MS);
+        if dice.bool() {
+            class.effect =
+                *dice.choice(&[Effect::Safe, Effect::Unsafe, Effect::Keyed { group, window }]).unwrap();
+        }
+        class.aim = dice.u64(10 * MS..S);
+        class.late_worth = dice.f64() * f64::from(u8::from(dice.bool()));
+    }
+    (s.warm_keys, s.live_weights) = (dice.bool(), dice.bool());
+    s.step = dice.u64(MS..20 * MS);
+    s.max_retry_after = dice.u64(..2 * S);
     s.tenants.truncate(dice.usize(..5));
     s.tenants.iter_mut().for_each(|t| t.quota_per_s = 20.0);
     if dice.bool() {
@@ -58,8 +74,9 @@
         let mut dice = fastrand::Rng::with_seed(seed);
         let settings = drawn_settings(&mut dice);
         let list = servers(1..dice.u64(1..14));
-        let node = Node { balancer: Balancer::new(settings, seed).unwrap(), now: 50 * S, next: 0 };
+        let node = Node { balancer: Balancer::new(settings.clone(), seed).unwrap(), now: 50 * S, next: 0 };
         let mut world = World {
+            settings: settings.clone(),
             node,
             dice,
             told: BTreeMap::new(),
@@ -85,16 +102,18 @@
     }
 
     fn judge(&mut self, action: &Action) {
-        let now = self.node.now;
+        let (now, s) = (self.node.now, &self.settings);
         match *action {
-            Action::Send { request, server, .. } => {
+            Action::Send { request, server, by } => {
                 let asked = self.asked.get_mut(&request).expect("a request that was asked");
                 assert!(!asked.closed, "sent after its end");
                 assert!(!asked.passed_on, "sent without its body");
                 let to = self.told[&server];
                 assert_eq!(to.state, ServerState::Ready, "sent to a server that drains or is gone");
                 assert!(!self.out.contains(&server), "sent to a server that was taken out");
-                let s = settings();
+                let out = asked.sent.iter().filter(|a| a.outcome.is_none()).count();
+                assert!(out == 0 || s.second_copies, "a second copy where there may be none");
+                assert!(asked.sent.len() < usize::from(s.max_attempts), "too many attempts");
                 for earlier in &asked.sent {
                     if earlier.outcome.is_some_and(Outcome::never_ran) {
                         continue;
@@ -103,7 +122,12 @@
                         Effect::Safe => true,
                         Effect::Unsafe => false,
                         Effect::Keyed { group, window } => {
-                            now < earlier.at + window && (group == Group::All || earlier.to.cell == to.cell)
+                            by.is_some_and(|by| now < by && by < earlier.at + window)
+                                && match group {
+                                    Group::All => true,
+                                    Group::Zone => earlier.to.zone == to.zone,
+                                    Group::Cell => earlier.to.cell == to.cell,
+                                }
                         }
                     };
                     assert!(harmless, "an effect could happen twice");
@@ -122,12 +146,17 @@
                 let unrun = asked.sent.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran));
                 let class = asked.class;
                 if matches!(action, Action::Refuse { .. }) {
-                    assert!(unrun || class == SAFE || class == BY_ALL, "called harmless what may have run");
+                    let harmless = matches!(
+                        s.classes[class].effect,
+                        Effect::Safe | Effect::Keyed { group: Group::All, .. }
+                    );
+                    assert!(unrun || harmless, "called harmless what may have run");
                 }
                 asked.closed = true;
                 self.answers += 1;
             }
             Action::Cancel(request, attempt) => {
+                assert!(s.cancelling, "cancelled where that is not allowed");
                 assert!(
                     self.asked[&request].sent.len() > usize::from(attempt),
                     "cancelled what was never sent"
@@ -210,7 +239,8 @@
             .unwrap();
         let old = self.told.get(&id).map_or(0, |s| s.ready_at);
         let ready_at = if self.dice.bool() { old } else { self.node.now };
-        let entry = ServerEntry { state, ready_at, ..server(id) };
+        let zone = (id % 2) as u8;
+        let entry = ServerEntry { state, ready_at, zone, ..server(id) };
         self.told.insert(id, entry);
         if self.dice.bool() {
             self.tell(Event::ServerChanges(vec![entry]));
