--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -284,10 +284,12 @@
 
     fn run(seed: u64, steps: usize) -> World {
         let mut world = World::new(seed);
+        // Every third world is quiet, with servers that take their time: attempts are copied there.
+        let (arrive, end) = if seed.is_multiple_of(3) { (25, 35) } else { (50, 85) };
         for _ in 0..steps {
             match world.dice.u32(..100) {
-                0..50 => world.arrive(),
-                50..85 => drop(world.end_one()),
+                drawn if drawn < arrive => world.arrive(),
+                drawn if drawn < end => drop(world.end_one()),
                 85..88 => world.change_list(),
                 88 => world.tell(Event::DiscoveryFailed),
                 89..91 => {
