Live on when nobody reads the log any more

What was seen by a test on the real node: with the reading end of its standard error closed, a node died at the next line that it logged, here that of a SIGHUP ("nobody connects": the new address of discovery was not called in 20 s). `eprintln!` panics where it cannot write, and the program is built with `panic = "abort"`. A watch that breaks is logged too, so that a log's reader that had gone took every node with it at discovery's next outage.

Ruled out: the signal itself (with the log read, `after_sighup_the_watch_goes_on_at_the_new_address_and_all_is_served` holds).

Lines at fault: each `eprintln!` in src/node. Mend: one macro that writes a line and does not mind.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -153,7 +153,7 @@
         failures += 1;
         // A line for each try of a long outage would say nothing new.
         if failures == 1 {
-            eprintln!("dunelink: discovery: {why}; watching anew from {rev}");
+            log!("discovery: {why}; watching anew from {rev}");
         }
         // Lists that are asked for are no exception: what answers is on this machine, at no cost to any other, and
         // the time until news count as told is one. A move must not wait for what befell the old address.
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -2,6 +2,9 @@
 //! on the servers' answers.
 #![deny(unsafe_code)]
 
+#[macro_use]
+mod log;
+
 mod body;
 mod clients;
 mod config;
@@ -63,7 +66,7 @@
         }
         None => None,
     };
-    eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
+    log!("{} listens on {}", config.name, listener.local_addr()?);
     let (mailbox, inbox) = Mailbox::new(config.seed);
     let room = Room::new(config.memory);
     let (servers, subscribe) = (Rc::new(Servers::new(&config, room.clone())), Rc::new(Notify::new()));
@@ -77,7 +80,7 @@
     spawn_local(discovery::follow(config.clone(), address, servers.clone(), mailbox.clone(), subscribe));
     let clients = Rc::new(Clients::new(config.clone(), mailbox.clone(), servers.clone(), room));
     if let Some(listener) = operators {
-        eprintln!("dunelink: {} hears operators on {}", config.name, listener.local_addr()?);
+        log!("{} hears operators on {}", config.name, listener.local_addr()?);
         let shared = Shared::open(&std::env::temp_dir(), &config.name);
         let desk = Rc::new(Desk::new(shared, clients.clone(), servers, mailbox));
         let (following, emptying) = (desk.clone(), clients.clone());
@@ -99,7 +102,7 @@
 
     terminate.recv().await;
     let last_call = Instant::now() + config.longest().min(DEADLINE_MOST) + LAST_CALL;
-    eprintln!("dunelink: {} is leaving", config.name);
+    log!("{} is leaving", config.name);
     clients.leave(handed_over);
     if handed_over {
         // The successor takes what waits in the kernel. Clients in the midst of things move with their answers.
@@ -127,10 +130,10 @@
     while hang_up.recv().await.is_some() {
         match Config::read(&path) {
             Ok(config) => {
-                eprintln!("dunelink: {path} read anew; discovery is at {}", config.discovery);
+                log!("{path} read anew; discovery is at {}", config.discovery);
                 moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
             }
-            Err(error) => eprintln!("dunelink: {path}: {error}; the configuration stays as it was"),
+            Err(error) => log!("{path}: {error}; the configuration stays as it was"),
         }
     }
 }
@@ -146,7 +149,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("dunelink: {error}");
+            log!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -117,7 +117,7 @@
     pub async fn follow(&self) {
         let mut own = 0;
         if let Err(error) = self.shared.change(|orders| own = starts(orders)).await {
-            eprintln!("dunelink: the shared state cannot be written: {error}");
+            log!("the shared state cannot be written: {error}");
         }
         let (mut last, mut since) = (own, Instant::now());
         loop {
@@ -182,7 +182,7 @@
         match ordered {
             Ok(()) => self.told(StatusCode::OK),
             Err(error) => {
-                eprintln!("dunelink: a call changed nothing: {error}");
+                log!("a call changed nothing: {error}");
                 said(
                     StatusCode::INTERNAL_SERVER_ERROR,
                     "the shared state cannot be written; nothing is changed",
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -79,7 +79,7 @@
             match fs::read(&self.path).map_err(|error| error.to_string()).and_then(|text| parse(&text)) {
                 Ok(orders) => orders,
                 Err(error) => {
-                    eprintln!("dunelink: {}: {error}; ignored until it is written anew", self.path.display());
+                    log!("{}: {error}; ignored until it is written anew", self.path.display());
                     return false;
                 }
             };
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -605,6 +605,19 @@
     assert_eq!(waiting.answer().status(), 504);
 }
 
+/// To write to it fails then.
+#[test]
+fn a_node_lives_on_when_nobody_reads_its_log_any_more() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::unheard(&[ready("a", &server)]);
+    let elsewhere = TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reconfigure("{\"name\": 3}");
+    node.reconfigure(&node.config_with(&elsewhere));
+    drop(Watch::accept(&elsewhere));
+    Watch::accept(&elsewhere).goes_on();
+    assert_eq!(node.client().ask(&view()).body, b"slip");
+}
+
 #[test]
 fn what_was_never_sent_is_refused_early_and_told_to_come_back_later() {
     let server = Server::new(|_, _| Act::Wait);
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -326,17 +326,36 @@
         Node::run_with(program(), targets, 1024, false, change)
     }
 
+    /// A node whose log nobody reads any more.
+    pub fn unheard(targets: &[Value]) -> Node {
+        Node::started(program(), targets, 1024, false, |_| {}).0
+    }
+
     fn run(command: Command, targets: &[Value], sockets: usize, operated: bool) -> Node {
         Node::run_with(command, targets, sockets, operated, |_| {})
     }
 
     fn run_with(
-        mut command: Command,
+        command: Command,
         targets: &[Value],
         sockets: usize,
         operated: bool,
         change: impl FnOnce(&mut Value),
     ) -> Node {
+        let (node, mut log) = Node::started(command, targets, sockets, operated, change);
+        // The log goes on to be read, lest the node waits for it.
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        node
+    }
+
+    /// A node that listens, and its log.
+    fn started(
+        mut command: Command,
+        targets: &[Value],
+        sockets: usize,
+        operated: bool,
+        change: impl FnOnce(&mut Value),
+    ) -> (Node, BufReader<ChildStderr>) {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": discovery.local_addr().unwrap().to_string(),
@@ -356,9 +375,7 @@
         };
         let address = told();
         let operator = operated.then(told);
-        // The log goes on to be read, lest the node waits for it.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { address, operator, discovery, config, path, child }
+        (Node { address, operator, discovery, config, path, child }, log)
     }
 
     pub fn client(&self) -> Client {
