Tell zones apart that the settings do not name

What was seen, by reading and by a test on the real node: lists name zones, settings number them, and all that the settings leave out had one number (src/node/discovery.rs, `Reader::entry`: `unwrap_or(u8::MAX)`). Where a class is keyed by zone and the settings name none, or not all, a repeat went to another zone, whose servers have not met the request: with two servers, one in "north" and one in "south", it ran in both ("it ran in both zones").

Ruled out: the module (it compares the numbers it is given); pods, which lists number themselves.

Mend: names that the settings leave out get the next numbers as lists bring them. The same holds for kinds of machine, which had one largest weight between them.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of servers and the watch that keeps it current.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::error::Error;
@@ -77,16 +78,37 @@
     xxhash_rust::xxh3::xxh3_64(uid.as_bytes())
 }
 
+/// Numbers for names: the settings' in their order, then others as lists bring them. Two that the settings leave out
+/// are no more alike than two that they name: a repeat may be tied to one of them.
+struct Numbers(RefCell<HashMap<String, u8>>);
+
+impl Numbers {
+    fn new(names: &[String]) -> Numbers {
+        Numbers(RefCell::new(names.iter().cloned().zip(0..u8::MAX).collect()))
+    }
+
+    fn of(&self, name: &str) -> u8 {
+        let mut known = self.0.borrow_mut();
+        if let Some(number) = known.get(name) {
+            return *number;
+        }
+        let next = u8::try_from(known.len()).unwrap_or(u8::MAX);
+        if next < u8::MAX {
+            known.insert(name.into(), next);
+        }
+        next
+    }
+}
+
 /// Turns discovery's entries into the module's.
 struct Reader {
-    zones: HashMap<String, u8>,
-    kinds: HashMap<String, u8>,
+    zones: Numbers,
+    kinds: Numbers,
 }
 
 impl Reader {
     fn new(config: &Config) -> Reader {
-        let numbered = |names: &[String]| names.iter().cloned().zip(0..u8::MAX).collect();
-        Reader { zones: numbered(&config.zones), kinds: numbered(&config.kinds) }
+        Reader { zones: Numbers::new(&config.zones), kinds: Numbers::new(&config.kinds) }
     }
 
     fn entry(&self, target: &Target) -> ServerEntry {
@@ -98,10 +120,10 @@
                 State::Gone => ServerState::Gone,
             },
             ready_at: target.boot_ms.saturating_mul(1000),
-            zone: self.zones.get(&target.az).copied().unwrap_or(u8::MAX),
+            zone: self.zones.of(&target.az),
             cell: target.pod_group,
             weight: target.capacity_hint.max(0.0),
-            kind: self.kinds.get(&target.model).copied().unwrap_or(u8::MAX),
+            kind: self.kinds.of(&target.model),
         }
     }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -11,9 +11,9 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use peers::*;
@@ -605,6 +605,39 @@
     assert_eq!(waiting.answer().status(), 504);
 }
 
+/// Zones that the settings do not name are zones all the same: servers of another one have not met the request.
+#[test]
+fn a_request_keyed_by_zone_keeps_to_its_zone_where_the_settings_name_none() {
+    // Whoever meets a request first breaks off under it.
+    let met: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+    let servers = [0, 1].map(|n| {
+        let met = met.clone();
+        Server::new(move |_, request| {
+            let id = request.header("req-id").unwrap().to_string();
+            match met.lock().unwrap().insert(id, n) {
+                None => Act::SayAndClose(Vec::new()),
+                Some(first) => ok(&(first == n).to_string()),
+            }
+        })
+    });
+    let targets: Vec<serde_json::Value> = (0..)
+        .zip(["north", "south"])
+        .map(|(n, zone)| {
+            let mut target = ready(zone, &servers[n]);
+            target["az"] = zone.into();
+            target
+        })
+        .collect();
+    let node = Node::configured(&targets, |config| {
+        config["settings"].as_object_mut().unwrap().remove("zones");
+        config["settings"]["services"][1]["dedup_scope"] = "zone".into();
+    });
+    for _ in 0..20 {
+        let answer = node.client().ask(&submit());
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"true"[..]), "it ran in both zones");
+    }
+}
+
 /// To write to it fails then.
 #[test]
 fn a_node_lives_on_when_nobody_reads_its_log_any_more() {
