Test that what waits for a descriptor is dropped with its client

For each way of leaving and each kind of bytes sent before, with the node's own places taken and with no descriptor left on the machine. Without drop_unwritten in the engine the test fails with the left request in place of the next one, without Seen::closed with 'the client's leaving was not seen'.

--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -7,6 +7,7 @@
 
 use socket2::{Domain, SockRef, Socket, Type};
 
+use super::moving::next;
 use super::peers::*;
 
 /// How a client goes.
@@ -246,6 +247,51 @@
     }
 }
 
+#[test]
+fn what_waits_for_a_descriptor_is_not_sent_on_once_its_client_has_left() {
+    let listeners: Vec<TcpListener> = (0..4).map(|_| listener()).collect();
+    let targets: Vec<_> = (0..).zip(&listeners).map(|(n, l)| entry(&format!("s{n}"), l, "ready")).collect();
+    // Of 36 descriptors two are for connections to servers; or the machine has no more.
+    for (sockets, starved) in [(36, false), (1024, true)] {
+        for going in GOINGS {
+            for (what, bytes) in further() {
+                let node = Node::configured(&targets, |config| {
+                    config["limits"]["sockets"] = sockets.into();
+                    config["settings"]["allowed"]["cancelling"] = false.into();
+                    config["settings"]["allowed"]["connect_timeout_us"] = 10_000_000.into();
+                });
+                Watch::accept(&node.discovery).goes_on();
+                let mut busy: Vec<(Client, Client)> = Vec::new();
+                for _ in 0..2 {
+                    let mut client = node.client();
+                    client.send(&order());
+                    busy.push((client, next(&listeners).0));
+                }
+                let before = node.descriptors();
+                let mut client = node.client();
+                if starved {
+                    assert_eq!(client.ask(HEALTH).status(), 200);
+                    node.starve();
+                }
+                client.send(&order());
+                client.send(&bytes);
+                came(&node, before + 1);
+                // It is read by now, and waits.
+                rested();
+                leave(client, going);
+                let_go_of(&node, before, &format!("{what}, {going:?}, starved {starved}"));
+                let (mut client, mut line) = busy.remove(0);
+                line.send(&answer(200, "Connection: close\r\n", "slip"));
+                assert_eq!(client.answer().body, b"slip");
+                drop((client, line));
+                let mut last = node.client();
+                last.send(&identified("9b1f03bb000000ff", "POST", "/order/1", "14.0", "", "yen"));
+                assert_eq!(next(&listeners).1.header("req-id"), Some("9b1f03bb000000ff"));
+            }
+        }
+    }
+}
+
 #[test]
 fn what_waits_for_a_retry_is_not_sent_on_once_its_client_has_left() {
     for going in GOINGS {
--- a/tests/node/moving.rs
+++ b/tests/node/moving.rs
@@ -133,7 +133,7 @@
         for _ in 0..2 {
             let mut client = node.client();
             client.send(&order());
-            busy.push((client, next(&listeners)));
+            busy.push((client, next(&listeners).0));
         }
         let mut waiting = node.client();
         if starved {
@@ -147,21 +147,21 @@
         line.send(&answer(200, "Connection: close\r\n", "first"));
         assert_eq!(client.answer().body, b"first");
         drop((client, line));
-        next(&listeners).send(&answer(200, "", "second"));
+        next(&listeners).0.send(&answer(200, "", "second"));
         assert_eq!(waiting.answer().body, b"second");
     }
 }
 
 /// The next connection to any of these, with the request on it read.
-fn next(listeners: &[TcpListener]) -> Client {
+pub fn next(listeners: &[TcpListener]) -> (Client, Message) {
     listeners.iter().for_each(|listener| listener.set_nonblocking(true).unwrap());
     let began = Instant::now();
     loop {
         if let Some(stream) = listeners.iter().find_map(|listener| Some(listener.accept().ok()?.0)) {
             stream.set_nonblocking(false).unwrap();
             let mut line = Client::on(stream);
-            assert!(line.answer().first.starts_with("POST"));
-            return line;
+            let request = line.answer();
+            return (line, request);
         }
         assert!(began.elapsed() < WITHIN, "nobody connects");
     }
