Keep the room of what was read of a large body until it has gone

Ruled out: idle connections (600 take 6 MB) and heads that wait (300 take 4 MB more).

Mend: the room stays with the bytes, which go on as copied pieces of 8 KiB; who finds no room passes through from the first byte.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -21,6 +21,8 @@
 pub const BODY_MOST: u64 = 32 << 20;
 /// The most that is held whole, to be sent again or thrown away.
 pub const WHOLE_MOST: usize = 64 << 10;
+/// What was read of a larger one is passed on in pieces of this size.
+const PIECE: usize = 8 << 10;
 /// The part of the node's memory that may go into what is held whole.
 const HELD_PART: usize = 8;
 /// How slow a client may be, in bytes a second. It is owed twice this, and no machine is quite even.
@@ -145,8 +147,8 @@
 
 /// A large body of a client's that passes through.
 pub struct Stream {
-    /// What was read before it turned out to be large.
-    first: Cell<Option<Bytes>>,
+    /// What was read before it turned out to be large, and its room.
+    first: RefCell<Option<(Bytes, Held)>>,
     rest: RefCell<Arriving>,
     /// Its length, if the client has told.
     length: Option<u64>,
@@ -196,16 +198,14 @@
 
     fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Wrong>>> {
         match self.progress() {
-            Progress::Kept => {
-                self.gets_on(Progress::PassedOn);
-                if let Some(first) = self.first.take() {
-                    return Poll::Ready(Some(Ok(first)));
-                }
-            }
+            Progress::Kept => self.gets_on(Progress::PassedOn),
             Progress::PassedOn => {}
             Progress::Whole(_) => return Poll::Ready(None),
             Progress::Failed(wrong) => return Poll::Ready(Some(Err(wrong))),
         }
+        if let Some(piece) = self.first_piece() {
+            return Poll::Ready(Some(Ok(piece)));
+        }
         let mut rest = self.rest.borrow_mut();
         let polled = ready!(rest.poll(cx));
         let ends = match &polled {
@@ -229,6 +229,17 @@
         }
     }
 
+    /// Some of what was read first. It is copied, so that the room is free once all of it is asked for.
+    fn first_piece(&self) -> Option<Bytes> {
+        let mut first = self.first.borrow_mut();
+        let (bytes, _) = first.as_mut()?;
+        let piece = Bytes::copy_from_slice(&bytes.split_to(bytes.len().min(PIECE)));
+        if bytes.is_empty() {
+            *first = None;
+        }
+        Some(piece)
+    }
+
     fn whole(&self, came: u64) {
         self.seen.read_whole(self.length.map(|_| came));
         self.gets_on(Progress::Whole(Instant::now()));
@@ -260,7 +271,7 @@
         }
         let held = room.take(&body.size_hint());
         let mut rest = Arriving::new(body, due);
-        let mut first = BytesMut::new();
+        let (mut first, mut kept) = (BytesMut::new(), None);
         if let Some(mut held) = held {
             while first.len() <= WHOLE_MOST {
                 let Some(data) = std::future::poll_fn(|cx| rest.poll(cx)).await? else {
@@ -271,12 +282,12 @@
                 };
                 first.extend_from_slice(&data);
             }
+            kept = Some((first.freeze(), held));
         }
-        let first = Some(first.freeze()).filter(|first| !first.is_empty());
         // Until a server takes it, nobody asks for more.
         rest.unasked = Some(Instant::now());
         Ok(Upload::Streamed(Rc::new(Stream {
-            first: Cell::new(first),
+            first: RefCell::new(kept),
             rest: RefCell::new(rest),
             length,
             progress: watch::Sender::new(Progress::Kept),
