Size the buffers of connections by the memory and the descriptors that the node has

What was seen: with the room kept, 600 uploads at once at servers that read nothing still took 37 to 40 MB of 32. Each connection may buffer 32 KiB, whatever the limits are (BUFFER_MOST in src/node/servers.rs), and a body that passes through is in three buffers: that is 32 MB for the 332 connections to servers of a node with 1,024 descriptors.

Mend: what connections may buffer follows from the configured limits, 8 to 32 KiB: a quarter of the memory if each descriptor were a connection.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -24,7 +24,7 @@
 use crate::body::{LEFT, Progress, Reply, Room, Upload, Wrong};
 use crate::config::{ClassRule, Config, LONGEST};
 use crate::engine::{Answer, Happening, Mailbox};
-use crate::servers::{BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets};
+use crate::servers::{DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets};
 use crate::socket::{ClientSocket, Seen};
 
 const OWNER: HeaderName = HeaderName::from_static("req-owner");
@@ -372,7 +372,7 @@
         });
         let mut builder = http1::Builder::new();
         // Its time for heads runs from the last answer on, not from a head's first byte.
-        builder.header_read_timeout(None).max_buf_size(BUFFER_MOST);
+        builder.header_read_timeout(None).max_buf_size(self.config.buffer);
         let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
         loop {
             tokio::select! {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use cherryusher::wire::parse_settings;
@@ -20,6 +21,12 @@
 /// No deadline is longer, whatever the settings or a client say.
 pub const LONGEST: Duration = Duration::from_secs(3600);
 
+/// What connections may buffer: the least that hyper takes, the most that is of use, and between them so much that
+/// this part of the memory would do if each descriptor were a connection. A body that passes through is in three
+/// buffers, but has two connections.
+const BUFFER: RangeInclusive<usize> = 8 << 10..=32 << 10;
+const BUFFERS_PART: usize = 4;
+
 /// The configuration file.
 #[derive(Deserialize)]
 struct File {
@@ -72,6 +79,8 @@
     pub shared_sockets: usize,
     /// How many bytes of memory it may hold.
     pub memory: usize,
+    /// How many bytes a connection may buffer in each direction; it bounds heads too.
+    pub buffer: usize,
     /// The list of servers as it was last held.
     pub known: Update,
     /// What the decision module is told.
@@ -116,12 +125,14 @@
                 )
             })
             .collect();
+        let memory = file.limits.memory_mb.unwrap_or(32).max(1) << 20;
         let allowed = |key: &str, absent: u64| s["allowed"][key].as_f64().map_or(absent, |us| us as u64);
         Ok(Config {
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from(&file.name)),
             sockets: sockets.saturating_sub(SPARE_SOCKETS).max(8),
             shared_sockets: (sockets / 2).saturating_sub(SPARE_SOCKETS).max(8),
-            memory: file.limits.memory_mb.unwrap_or(32).max(1) << 20,
+            memory,
+            buffer: (memory / BUFFERS_PART / sockets.max(1)).clamp(*BUFFER.start(), *BUFFER.end()),
             classes,
             tenants: (0..).zip(names(s, "parties")).map(|(index, name)| (name, index)).collect(),
             zones: strings(&s["zones"]),
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -28,8 +28,6 @@
 use crate::socket::{Line, Place, Places, ServerSocket};
 use crate::trust::{Thrift, Trust};
 
-/// What a connection may buffer; it bounds headers too.
-pub const BUFFER_MOST: usize = 32 * 1024;
 /// The headers of the protocol that the node reads or writes itself.
 pub const ID: HeaderName = HeaderName::from_static("req-id");
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -183,6 +181,7 @@
     places: Rc<Places>,
     most: Cell<usize>,
     connect_timeout: Duration,
+    buffer: usize,
     thrift: Thrift,
     trust: Trust,
     room: Rc<Room>,
@@ -235,6 +234,7 @@
             places: Rc::default(),
             most: Cell::new(config.sockets / 3),
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
+            buffer: config.buffer,
             thrift: Thrift::new(Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART)),
             trust: Trust::new(),
             room,
@@ -417,7 +417,7 @@
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let line = Rc::new(Line::new(stream, place));
         let socket = TokioIo::new(ServerSocket(line.clone()));
-        let builder = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(socket).await;
+        let builder = http1::Builder::new().max_buf_size(self.buffer).handshake(socket).await;
         let (sender, connection) = builder.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // Its errors show in the attempts.
--- a/tests/node/size.rs
+++ b/tests/node/size.rs
@@ -94,6 +94,38 @@
     assert!(memory < 32 << 20, "{memory} bytes, and one body has {EACH}");
 }
 
+/// Little memory for many descriptors, and all that connections may hold is held: servers read nothing, and each client
+/// sends as much as it can.
+#[test]
+fn a_crowd_of_uploads_keeps_within_the_memory_that_the_node_has() {
+    const MEMORY: usize = 32;
+    let listeners: Vec<TcpListener> = (0..8).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let targets: Vec<_> = (0..)
+        .zip(&listeners)
+        .map(|(n, listener)| target(&format!("s{n}"), listener.local_addr().unwrap(), 1, "ready"))
+        .collect();
+    let node = Node::configured(&targets, |config| config["limits"]["memory_mb"] = MEMORY.into());
+    let body = varied(400_000);
+    let crowd: Vec<Client> = (0..600)
+        .map(|n| {
+            let mut client = node.client();
+            client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+            match n % 2 {
+                0 => client.send(&head("POST", "/order/1", "Content-Length: 4000000\r\n")),
+                _ => {
+                    client.send(&head("POST", "/order/1", "Transfer-Encoding: chunked\r\n"));
+                    client.send(b"3D0900\r\n");
+                }
+            }
+            client.send(&body);
+            client
+        })
+        .collect();
+    assert_eq!(node.health(), 200);
+    let memory = node.memory();
+    assert!(memory < MEMORY << 20, "{memory} bytes for {} uploads", crowd.len());
+}
+
 /// How much a client can send before it has to wait.
 fn sent_until_blocked(client: &mut Client, most: usize) -> usize {
     client.stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
