Open no connection with the descriptor that the client's own leaving has freed

Where socket() fails for want of a descriptor, connect() tries again every 10 ms. The client that leaves frees one: its connection is closed by its own task, and the attempt, if its 10 ms are over in the same turn of the loop, comes before the engine that is to end it. So it opened a connection for a request that nobody waited for, and where that came up in the same turn it might have been written.

Now the request itself knows that its client has left, from the moment that its connection is let go, and an attempt asks before it opens a connection and before it writes, together with what it asked there before.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -535,8 +535,9 @@
         headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
         let once = class.effect == Effect::Unsafe;
         let method = head.method;
-        let begin_by = Cell::new(None);
-        let outgoing = Rc::new(Outgoing { method, target, headers, upload, patience, came, once, begin_by });
+        let (begin_by, left) = (Cell::new(None), Cell::new(false));
+        let outgoing = Outgoing { method, target, headers, upload, patience, came, once, begin_by, left };
+        let outgoing = Rc::new(outgoing);
         Ok(Taken { request, outgoing, _unique: unique })
     }
 
@@ -555,8 +556,9 @@
                 Upload::Whole { .. } => std::future::pending().await,
             }
         };
-        let mut waiting = Waiting { id: taken.request.id, engine: &self.engine, answered: false };
-        self.engine.send(Happening::Arrived(taken.request, taken.outgoing, sender));
+        let (id, outgoing) = (taken.request.id, taken.outgoing);
+        let mut waiting = Waiting { id, outgoing: &outgoing, engine: &self.engine, answered: false };
+        self.engine.send(Happening::Arrived(taken.request, outgoing.clone(), sender));
         let answer = tokio::select! {
             biased;
             answer = answer => answer,
@@ -612,9 +614,11 @@
     Cut,
 }
 
-/// Tells the engine if the client goes away first: hyper then drops the request's future.
+/// Tells the engine if the client goes away first: hyper then drops the request's future. Whatever attempt has its
+/// turn before the engine does finds that out by itself.
 struct Waiting<'a> {
     id: RequestId,
+    outgoing: &'a Outgoing,
     engine: &'a Mailbox,
     answered: bool,
 }
@@ -622,6 +626,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.answered {
+            self.outgoing.left.set(true);
             self.engine.send(Happening::Left(self.id));
         }
     }
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -68,6 +68,8 @@
     pub once: bool,
     /// From when on no attempt may begin: servers may have forgotten that they ran it.
     pub begin_by: Cell<Option<Instant>>,
+    /// Whether nobody waits for it any more: what has not begun to go is not sent.
+    pub left: Cell<bool>,
 }
 
 impl Outgoing {
@@ -82,6 +84,13 @@
         }
     }
 
+    /// Whether an attempt may begin now. What has begun to go to another server is kept no longer; it may have run
+    /// elsewhere, or its client have left, while a connection came up.
+    fn may_begin(&self) -> bool {
+        let in_time = self.begin_by.get().is_none_or(|by| Instant::now() < by);
+        self.upload.is_kept() && !self.left.get() && in_time
+    }
+
     /// Returns when no answer is of use any more, or the server takes no more of the body.
     async fn expired(&self) {
         loop {
@@ -399,10 +408,14 @@
     /// Opens a connection. For a place, and for a descriptor where the machine has fewer than the node was told, it is
     /// waited no longer than for a server: all others are as badly off, and to try them at once would use up the
     /// request's attempts.
-    async fn connect(&self, run: Run) -> Result<Connection, Outcome> {
+    async fn connect(&self, run: Run, outgoing: &Outgoing) -> Result<Connection, Outcome> {
         let by = Instant::now() + self.connect_timeout;
         let (place, stream) = loop {
             let place = timeout_at(by, self.place()).await.map_err(|_| Outcome::NotSent)?;
+            // The descriptor may be free because its own client has left.
+            if !outgoing.may_begin() {
+                return Err(Outcome::NotSent);
+            }
             match timeout(self.connect_timeout, TcpStream::connect(run.endpoint)).await {
                 Ok(Ok(stream)) => break (place, stream),
                 Ok(Err(error)) if out_of_sockets(&error) && Instant::now() < by => {
@@ -452,8 +465,7 @@
         begun: &Cell<bool>,
     ) -> Result<Attempted, Outcome> {
         loop {
-            // What has begun to go to another server is kept no longer.
-            if !outgoing.upload.is_kept() {
+            if !outgoing.may_begin() {
                 return Err(Outcome::NotSent);
             }
             let (mut connection, idle) = match self.take_idle(server, outgoing.once) {
@@ -464,20 +476,16 @@
                 None => {
                     let there = self.whereabouts(server).ok_or(Outcome::NotSent)?;
                     let connection = match outgoing.begin_by.get() {
-                        Some(by) => {
-                            timeout_at(by, self.connect(there)).await.map_err(|_| Outcome::NotSent)?
-                        }
-                        None => self.connect(there).await,
+                        Some(by) => timeout_at(by, self.connect(there, outgoing))
+                            .await
+                            .map_err(|_| Outcome::NotSent)?,
+                        None => self.connect(there, outgoing).await,
                     };
                     (connection?, None)
                 }
             };
-            // It may have run elsewhere while the connection came up.
-            if outgoing.begin_by.get().is_some_and(|by| Instant::now() >= by) {
-                return Err(Outcome::NotSent);
-            }
             // A drain may have been heard of while the connection came up.
-            if self.whereabouts(server) != Some(connection.run) {
+            if !outgoing.may_begin() || self.whereabouts(server) != Some(connection.run) {
                 return Err(Outcome::NotSent);
             }
             let mut request = outgoing.request().ok_or(Outcome::NotSent)?;
