Hold no more of a body than its room, which counted half of what the buffer took

Under valgrind's massif the heap peaked at 35.7 MB, 8.3 of them in the buffers into which Upload::read gathers the first 64 KiB of a body of unknown length. The room for those was 4 MB: it counts what is in them, but a buffer that grows by itself doubles, from 64 KiB to 128, with the piece that shows the body to be large. A small one of unknown length gave back what it had not used while its buffer kept up to twice its length, and an answer's first piece gave back all of its room while it was still waiting for its client.

Ruled out: hyper's buffers as the cause of the excess (7.6 MB for heads, 10.8 for reading, 3.0 for requests on their way to a connection; 20 to 30 KB for each of 923 connections, as many as the node was told it may have).

Now a body is gathered in no more than its room, the piece that no longer fits is kept beside it, and what is given back is what the buffer does not take. Answers keep their room until the client has asked for all of it, and go on in the pieces in which uploads do.

The new unit test fails with a buffer that grows by itself ("80000 of 65536").

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -82,6 +82,71 @@
     }
 }
 
+/// A body as it is gathered, in no more than its room.
+struct Gathered {
+    bytes: BytesMut,
+    held: Held,
+}
+
+impl Gathered {
+    fn new(held: Held) -> Gathered {
+        Gathered { bytes: BytesMut::new(), held }
+    }
+
+    /// Adds a piece; one for which there is no room is given back.
+    fn add(&mut self, piece: Bytes) -> Result<(), Bytes> {
+        let needed = self.bytes.len() + piece.len();
+        if needed > self.held.bytes {
+            return Err(piece);
+        }
+        if needed > self.bytes.capacity() {
+            // Left to itself it would double beyond the room.
+            let capacity = (2 * self.bytes.capacity()).clamp(needed, self.held.bytes);
+            let mut grown = BytesMut::with_capacity(capacity);
+            grown.extend_from_slice(&self.bytes);
+            self.bytes = grown;
+        }
+        self.bytes.extend_from_slice(&piece);
+        Ok(())
+    }
+
+    /// All of the body, in the room that it takes.
+    fn whole(mut self) -> (Bytes, Held) {
+        self.held.shrink(self.bytes.capacity());
+        (self.bytes.freeze(), self.held)
+    }
+}
+
+/// What was read of a body before it turned out to be large.
+#[derive(Default)]
+pub struct First {
+    gathered: Option<(Bytes, Held)>,
+    /// The piece behind that.
+    last: Option<Bytes>,
+}
+
+impl First {
+    fn new(gathered: Option<Gathered>, last: Bytes) -> First {
+        let gathered = gathered.map(Gathered::whole).filter(|(bytes, _)| !bytes.is_empty());
+        First { gathered, last: Some(last) }
+    }
+
+    fn len(&self) -> usize {
+        let gathered = self.gathered.as_ref().map_or(0, |(bytes, _)| bytes.len());
+        gathered + self.last.as_ref().map_or(0, Bytes::len)
+    }
+
+    /// The next piece. It is copied, so that the room is free once all of it is asked for.
+    fn next(&mut self) -> Option<Bytes> {
+        let Some((bytes, _)) = &mut self.gathered else { return self.last.take() };
+        let piece = Bytes::copy_from_slice(&bytes.split_to(bytes.len().min(PIECE)));
+        if bytes.is_empty() {
+            self.gathered = None;
+        }
+        Some(piece)
+    }
+}
+
 /// A client's body on its way in, judged by its progress.
 struct Arriving {
     body: Incoming,
@@ -147,8 +212,7 @@
 
 /// A large body of a client's that passes through.
 pub struct Stream {
-    /// What was read before it turned out to be large, and its room.
-    first: RefCell<Option<(Bytes, Held)>>,
+    first: RefCell<First>,
     rest: RefCell<Arriving>,
     /// Its length, if the client has told.
     length: Option<u64>,
@@ -203,7 +267,7 @@
             Progress::Whole(_) => return Poll::Ready(None),
             Progress::Failed(wrong) => return Poll::Ready(Some(Err(wrong))),
         }
-        if let Some(piece) = self.first_piece() {
+        if let Some(piece) = self.first.borrow_mut().next() {
             return Poll::Ready(Some(Ok(piece)));
         }
         let mut rest = self.rest.borrow_mut();
@@ -229,17 +293,6 @@
         }
     }
 
-    /// Some of what was read first. It is copied, so that the room is free once all of it is asked for.
-    fn first_piece(&self) -> Option<Bytes> {
-        let mut first = self.first.borrow_mut();
-        let (bytes, _) = first.as_mut()?;
-        let piece = Bytes::copy_from_slice(&bytes.split_to(bytes.len().min(PIECE)));
-        if bytes.is_empty() {
-            *first = None;
-        }
-        Some(piece)
-    }
-
     fn whole(&self, came: u64) {
         self.seen.read_whole(self.length.map(|_| came));
         self.gets_on(Progress::Whole(Instant::now()));
@@ -269,25 +322,27 @@
             seen.read_whole(length);
             return Ok(Upload::Whole { bytes: Bytes::new(), _held: Rc::new(None) });
         }
-        let held = room.take(&body.size_hint());
+        let mut gathered = room.take(&body.size_hint()).map(Gathered::new);
         let mut rest = Arriving::new(body, due);
-        let (mut first, mut kept) = (BytesMut::new(), None);
-        if let Some(mut held) = held {
-            while first.len() <= WHOLE_MOST {
-                let Some(data) = std::future::poll_fn(|cx| rest.poll(cx)).await? else {
-                    seen.read_whole(length);
-                    held.shrink(first.len());
-                    let held = Rc::new(Some(held));
-                    return Ok(Upload::Whole { bytes: first.freeze(), _held: held });
-                };
-                first.extend_from_slice(&data);
+        let mut first = First::default();
+        while let Some(some) = &mut gathered {
+            match std::future::poll_fn(|cx| rest.poll(cx)).await? {
+                Some(piece) => {
+                    if let Err(last) = some.add(piece) {
+                        first = First::new(gathered.take(), last);
+                    }
+                }
+                None => break,
             }
-            kept = Some((first.freeze(), held));
+        }
+        if let Some((bytes, held)) = gathered.map(Gathered::whole) {
+            seen.read_whole(length);
+            return Ok(Upload::Whole { bytes, _held: Rc::new(Some(held)) });
         }
         // Until a server takes it, nobody asks for more.
         rest.unasked = Some(Instant::now());
         Ok(Upload::Streamed(Rc::new(Stream {
-            first: RefCell::new(kept),
+            first: RefCell::new(first),
             rest: RefCell::new(rest),
             length,
             progress: watch::Sender::new(Progress::Kept),
@@ -382,7 +437,7 @@
 
 /// A server's answer that passes through.
 pub struct Download {
-    first: Option<Bytes>,
+    first: First,
     rest: Incoming,
     came: u64,
     /// While the server is waited for: when it has been silent for too long.
@@ -395,8 +450,8 @@
 pub enum Beginning {
     /// All of it.
     Whole(Bytes, Option<Held>),
-    /// A first piece of a large one.
-    Part(Bytes, Incoming),
+    /// The first pieces of a large one.
+    Part(First, Incoming),
 }
 
 impl Beginning {
@@ -405,31 +460,27 @@
         if body.size_hint().lower() > BODY_MOST {
             return None;
         }
-        let mut held = room.take(&body.size_hint());
-        let mut first = BytesMut::new();
+        let mut gathered = room.take(&body.size_hint()).map(Gathered::new);
         loop {
             let Some(frame) = body.frame().await else {
-                held.iter_mut().for_each(|held| held.shrink(first.len()));
-                return Some(Beginning::Whole(first.freeze(), held));
+                let (bytes, held) = gathered.map(Gathered::whole).unzip();
+                return Some(Beginning::Whole(bytes.unwrap_or_default(), held));
             };
             let Ok(data) = frame.ok()?.into_data() else { continue };
-            first.extend_from_slice(&data);
-            if !first.is_empty() && (held.is_none() || first.len() > WHOLE_MOST) {
-                return Some(Beginning::Part(first.freeze(), body));
+            let added = match &mut gathered {
+                Some(some) => some.add(data),
+                None => Err(data),
+            };
+            if let Err(last) = added {
+                return Some(Beginning::Part(First::new(gathered, last), body));
             }
         }
     }
 }
 
 impl Download {
-    pub fn new(first: Bytes, rest: Incoming, told: impl FnOnce(End) + 'static) -> Download {
-        Download {
-            came: first.len() as u64,
-            first: Some(first),
-            rest,
-            silent: None,
-            told: Some(Box::new(told)),
-        }
+    pub fn new(first: First, rest: Incoming, told: impl FnOnce(End) + 'static) -> Download {
+        Download { came: first.len() as u64, first, rest, silent: None, told: Some(Box::new(told)) }
     }
 
     fn end(&mut self, end: End) {
@@ -439,8 +490,8 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
-        if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(first)));
+        if let Some(piece) = self.first.next() {
+            return Poll::Ready(Some(Ok(piece)));
         }
         loop {
             let polled = Pin::new(&mut self.rest).poll_frame(cx);
@@ -477,7 +528,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let first = self.first.len() as u64;
         self.rest.size_hint().exact().map_or_else(SizeHint::new, |rest| SizeHint::with_exact(first + rest))
     }
 }
@@ -536,7 +587,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Whole { bytes, .. } => bytes.is_empty(),
-            Content::Part(download) => download.first.is_none() && download.rest.is_end_stream(),
+            Content::Part(download) => download.first.len() == 0 && download.rest.is_end_stream(),
         }
     }
 
@@ -547,3 +598,31 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_gathered_takes_no_more_than_its_room_and_gives_back_the_rest() {
+        for (piece, length) in
+            [(1, None), (5_000, None), (8 << 10, None), (20_000, Some(50_000)), (7, Some(7))]
+        {
+            let all = 1 << 20;
+            let room = Rc::new(Room { left: Cell::new(all) });
+            let hint = length.map_or_else(SizeHint::new, SizeHint::with_exact);
+            let most = length.map_or(WHOLE_MOST, |length| length as usize);
+            let mut gathered = Gathered::new(room.take(&hint).unwrap());
+            while gathered.add(Bytes::from(vec![0; piece])).is_ok() {
+                assert!(gathered.bytes.capacity() <= most, "{} of {most}", gathered.bytes.capacity());
+            }
+            assert!(gathered.bytes.len() + piece > most);
+            let taken = gathered.bytes.capacity();
+            let (bytes, held) = gathered.whole();
+            assert_eq!(room.left.get(), all - taken);
+            assert!(bytes.len() <= taken && taken <= (2 * bytes.len()).min(most));
+            drop(held);
+            assert_eq!(room.left.get(), all);
+        }
+    }
+}
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -10,7 +10,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,7 +22,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::body::{Beginning, Download, End, Payload, Progress, Reply, Room, Upload};
+use crate::body::{Beginning, Download, End, First, Payload, Progress, Reply, Room, Upload};
 use crate::config::Config;
 use crate::socket::{Line, Place, Places, ServerSocket};
 use crate::trust::{Thrift, Trust};
@@ -207,7 +206,7 @@
 
 /// The rest of an answer that has begun.
 pub struct Part {
-    first: Bytes,
+    first: First,
     rest: Incoming,
     servers: Rc<Servers>,
     server: ServerId,
