Tell the end of a small answer that passes through for want of room

Where there is no room to hold an answer whole it passes through, and a small one is all there in its first piece: hyper then asks for no more, so that Download never told that it was whole and was taken for one whose client had left. The module heard of an attempt that was cancelled, and the connection to the server was closed with each such answer, on which the next request could have gone.

The new test fills the room with orders that wait (1 MB of 8) and asks for 100 small answers: without this each comes on a connection of its own, with it connections are used again.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -496,6 +496,9 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
         if let Some(piece) = self.first.next() {
+            if self.first.len() == 0 && self.rest.is_end_stream() {
+                self.end(End::Whole);
+            }
             return Poll::Ready(Some(Ok(piece)));
         }
         loop {
--- a/tests/node/size.rs
+++ b/tests/node/size.rs
@@ -1,5 +1,6 @@
 //! Large bodies and answers, slow peers, and all the forms that HTTP/1.1 has for them.
 
+use std::collections::HashSet;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -136,6 +137,37 @@
     memory
 }
 
+/// No room is left to hold it whole, so it passes through, and comes in its first piece.
+#[test]
+fn a_connection_is_used_again_after_an_answer_that_found_no_room() {
+    // An eighth of this is as much as the orders hold.
+    const MEMORY: usize = 8;
+    let script = |_, request: &Message| match request.first.starts_with("POST") {
+        true => Act::Wait,
+        false => ok("slip"),
+    };
+    let server = Server::new(script);
+    let targets: Vec<_> = (0..16).map(|n| ready(&format!("s{n}"), &server)).collect();
+    let node = Node::configured(&targets, |config| config["limits"]["memory_mb"] = MEMORY.into());
+    let _orders: Vec<Client> = (0..MEMORY * 2)
+        .map(|_| {
+            let mut client = node.client();
+            client.send(&request("POST", "/order/1", "14.0", "", &"y".repeat(64 << 10)));
+            server.request();
+            client
+        })
+        .collect();
+    // More views than servers: some find a connection there, if any is kept.
+    let mut client = node.client();
+    let connections: HashSet<usize> = (0..100)
+        .map(|_| {
+            assert_eq!(client.ask(&view()).body, b"slip");
+            server.request().0
+        })
+        .collect();
+    assert!(connections.len() < 100, "each of 100 views had a connection of its own");
+}
+
 /// How much a client can send before it has to wait.
 fn sent_until_blocked(client: &mut Client, most: usize) -> usize {
     client.stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
