--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -146,7 +146,11 @@
     half.send(&order()[..order().len() - 1]);
     assert_eq!(once.ask(&view()).status(), 200);
     assert_eq!(half.answer().status(), 408);
-    assert!(silent.ended() && slow.ended() && half.ended() && once.ended());
+    for (what, client) in
+        [("silent", &mut silent), ("slow", &mut slow), ("half", &mut half), ("once", &mut once)]
+    {
+        assert!(client.ended(), "{what}");
+    }
     assert!(began.elapsed() < Duration::from_secs(10), "long before the class's deadline");
     assert_eq!(server.count(), 1);
 }
