Let a successor serve once the older process has made room for it

Printed at each look on busy cores, the older process had 84 to 104 at the first looks and 69 from the sixth on, its successor 49 all along.

The node is at fault. The older process looks at the shared file every 50 ms (Desk::follow); until it has seen the new start it takes in as many clients as when it is alone, and a client's new connection is left alone for 300 ms. The successor took its half from its first moment.

Ruled out: requests in flight, which can't be ended (53 in the older process throughout), and the successor's own start, which keeps to its half (49).

Now the older process says in a file beside the state, which older versions of the program need not know, that it keeps to its half, or that what it still holds does not end by itself (0.5 s). The successor is not able, and accepts nobody, until it reads that, or for 1 s if nobody says so.

The test of orders that hold for both processes waits for the successor to be able before it asks for exactly the same.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -146,6 +146,8 @@
     servers: Rc<Servers>,
     phase: Cell<Phase>,
     able: Cell<bool>,
+    /// Whether another process of the node may still hold what this one needs.
+    waits_for_room: Cell<bool>,
     /// How many descriptors there are for connections of all kinds.
     sockets: Cell<usize>,
     /// Told when operators have said whether the node is to be empty.
@@ -170,6 +172,7 @@
             servers,
             phase: Cell::new(Phase::Serving),
             able: Cell::new(false),
+            waits_for_room: Cell::new(false),
             sockets: Cell::new(config.sockets),
             emptied: Notify::new(),
             connections: RefCell::default(),
@@ -244,9 +247,19 @@
         });
     }
 
+    /// Does not serve until it is told that it has room.
+    pub fn wait_for_room(&self) {
+        self.waits_for_room.set(true);
+    }
+
+    /// Has its part of the node's descriptors.
+    pub fn have_room(&self) {
+        self.waits_for_room.set(false);
+    }
+
     /// Whether requests can be served, now or once before.
     pub fn can_serve(&self) -> bool {
-        self.able.set(self.able.get() || self.servers.any_ready());
+        self.able.set(self.able.get() || (!self.waits_for_room.get() && self.servers.any_ready()));
         self.able.get()
     }
 
@@ -297,6 +310,11 @@
         while self.connections.borrow().len() - self.closing.get() > self.most() && self.make_room() {}
     }
 
+    /// Whether there are more connections than there may be, those that are about to end included.
+    pub fn is_crowded(&self) -> bool {
+        self.connections.borrow().len() > self.most()
+    }
+
     /// The most connections; the servers' side has the rest. A client's is taken while its request is held,
     /// a server's only while an attempt is out: clients need more.
     fn most(&self) -> usize {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -82,6 +82,9 @@
     if let Some(listener) = operators {
         log!("{} hears operators on {}", config.name, listener.local_addr()?);
         let shared = Shared::open(&std::env::temp_dir(), &config.name);
+        if handed_over {
+            clients.wait_for_room();
+        }
         let desk = Rc::new(Desk::new(shared, clients.clone(), servers, mailbox));
         let (following, emptying) = (desk.clone(), clients.clone());
         spawn_local(async move { following.follow().await });
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -41,6 +41,10 @@
 const FOLLOW_EVERY: Duration = Duration::from_millis(50);
 /// A yes waits until the other process of the node, if there is one, has followed too.
 const FOLLOWED_BY_ALL: Duration = Duration::from_millis(120);
+/// For how long a process that has to make room for its successor waits for what may still end: a client's new
+/// connection is left alone at first. The successor waits a little longer; there may be no other any more.
+const GIVES_WAY_WITHIN: Duration = Duration::from_millis(500);
+const GIVEN_WAY_WITHIN: Duration = Duration::from_secs(1);
 /// One of two processes has left by now: the platform ends the older one, or the younger one has failed.
 const ALONE_AFTER: Duration = Duration::from_secs(11);
 /// How long to wait for descriptors.
@@ -120,6 +124,7 @@
             log!("the shared state cannot be written: {error}");
         }
         let (mut last, mut since) = (own, Instant::now());
+        let (begun, mut given_way) = (since, own);
         loop {
             // Two processes are one node, with one node's descriptors, until the first of them has left.
             let started = self.shared.orders().starts;
@@ -127,6 +132,13 @@
                 (last, since) = (started, Instant::now());
             }
             self.clients.share_sockets(last > 1 && since.elapsed() < ALONE_AFTER);
+            if started > given_way && (!self.clients.is_crowded() || since.elapsed() >= GIVES_WAY_WITHIN) {
+                self.shared.give_way(started);
+                given_way = started;
+            }
+            if own <= 1 || self.shared.was_given_way(own) || begun.elapsed() >= GIVEN_WAY_WITHIN {
+                self.clients.have_room();
+            }
             sleep(FOLLOW_EVERY).await;
             if self.shared.read() {
                 self.carry_out();
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -109,6 +109,25 @@
     }
 }
 
+impl Shared {
+    /// Beside the orders, which an older version of the program has to read too.
+    fn given_way(&self) -> PathBuf {
+        self.path.with_extension("given-way")
+    }
+
+    /// Tells the process that started as this one that it has its part of the descriptors.
+    pub fn give_way(&self, start: u64) {
+        // Unless it hears so in time it takes them anyway.
+        let _ = fs::write(self.given_way(), start.to_string());
+    }
+
+    /// Whether the process that started as this one was told so.
+    pub fn was_given_way(&self, start: u64) -> bool {
+        fs::read_to_string(self.given_way())
+            .is_ok_and(|text| text.parse().is_ok_and(|told: u64| told >= start))
+    }
+}
+
 fn parse(text: &[u8]) -> Result<Orders, String> {
     let stored: Stored<serde_json::Value> =
         serde_json::from_slice(text).map_err(|error| error.to_string())?;
--- a/tests/node/operating.rs
+++ b/tests/node/operating.rs
@@ -321,6 +321,7 @@
     assert_eq!(old.maintain("enter", "a"), 200);
     assert_eq!(old.call("POST", "/standby", "").status(), 200);
     let new = Node::passed(&targets, &listener, &folder);
+    until("the old one has made room", || new.call("GET", "/status", "").status() == 200);
     assert_eq!(shown(&new), json!({"phase": "standby", "able": true, "maintenance": ["a"]}));
     // What the new one is told holds for the old one from the yes on.
     assert_eq!(new.call("POST", "/active", "").status(), 200);
@@ -401,20 +402,24 @@
 fn two_processes_make_do_with_the_descriptors_of_one() {
     const SOCKETS: usize = 160;
     let server = Server::new(|_, _| Act::Wait);
+    let targets: Vec<Value> = (0..12).map(|n| ready(&format!("s{n}"), &server)).collect();
     let (listener, folder) = (TcpListener::bind("127.0.0.1:0").unwrap(), folder());
-    let old = Node::passed_with(&[ready("a", &server)], &listener, &folder, SOCKETS);
+    let old = Node::passed_with(&targets, &listener, &folder, SOCKETS);
     // Clients hold a third of the descriptors for requests, and many more for nothing.
     let mut busy: Vec<Client> = (0..SOCKETS / 3).map(|_| old.client()).collect();
     busy.iter_mut().for_each(|client| client.send(&request("POST", "/order/1", "14", "", "yen")));
-    let new = Node::passed_with(&[ready("a", &server)], &listener, &folder, SOCKETS);
-    until("the successor can serve", || new.call("GET", "/status", "").status() == 200);
+    until("some are at servers", || server.count() >= 12);
+    let new = Node::passed_with(&targets, &listener, &folder, SOCKETS);
+    // The older process takes them in until it knows of its successor.
     let mut idle: Vec<Client> = (0..100).map(|_| old.client()).collect();
-    for _ in 0..20 {
-        let both = old.descriptors() + new.descriptors();
-        assert!(both <= SOCKETS, "{both} descriptors of {SOCKETS}");
+    let mut looks = 0;
+    until("the successor serves for a second", || {
+        let (older, newer) = (old.descriptors(), new.descriptors());
+        assert!(older + newer <= SOCKETS, "{older} and {newer} descriptors of {SOCKETS}");
         idle.iter_mut().filter(|client| client.has_something()).for_each(|client| *client = old.client());
-        std::thread::sleep(Duration::from_millis(50));
-    }
+        looks += usize::from(shown(&new)["able"] == true);
+        looks >= 100
+    });
 }
 
 #[test]
