--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -136,7 +136,7 @@
                 self.shared.give_way(started);
                 given_way = started;
             }
-            if own <= 1 || self.shared.was_given_way(own) || begun.elapsed() >= GIVEN_WAY_WITHIN {
+            if own <= 1 || begun.elapsed() >= GIVEN_WAY_WITHIN || self.shared.was_given_way(own) {
                 self.clients.have_room();
             }
             sleep(FOLLOW_EVERY).await;
