Take servers whose list names no pod to be each alone

A request keyed by cell whose connection broke went to any other server, and ran again if that one does not know the key.

Now a server without a pod knows its own keys alone, and only until it starts anew: a repeat goes back to it or nowhere. Lists with pods are taken as before, and the simulator's wire always names cells.

--- a/src/api.rs
+++ b/src/api.rs
@@ -205,8 +205,8 @@
     pub ready_at: Micros,
     /// Its zone.
     pub zone: u8,
-    /// Its cell: servers that know each other's keys.
-    pub cell: u16,
+    /// Its cell: servers that know each other's keys. Without one it knows only its own.
+    pub cell: Option<u16>,
     /// Its size against other servers, a finite number; 0 if unknown.
     pub weight: f64,
     /// What kind of machine it is.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -57,7 +57,7 @@
     #[serde(default)]
     model: String,
     #[serde(default)]
-    pod_group: u16,
+    pod_group: Option<u16>,
     state: State,
     #[serde(default)]
     capacity_hint: f64,
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -14,7 +14,11 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Unsafe => false,
             Effect::Keyed { group: Group::Zone, .. } => to_before.zone == to.zone,
-            Effect::Keyed { group: Group::Cell, .. } => to_before.cell == to.cell,
+            Effect::Keyed { group: Group::Cell, .. } => match (to_before.cell, to.cell) {
+                // One that has started anew remembers nothing.
+                (None, None) => (to_before.id, to_before.ready_at) == (to.id, to.ready_at),
+                (before, now) => before == now,
+            },
         };
         !job.passed_on
             && job.attempts.len() < usize::from(self.settings.max_attempts)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -200,7 +200,7 @@
                 other => return bad(format!("unknown server state {other}")),
             };
             let (ready_at, zone, id, cell) =
-                (entries.u64()?, entries.u8()?, entries.server()?, entries.u16()?);
+                (entries.u64()?, entries.u8()?, entries.server()?, Some(entries.u16()?));
             // A weight that is no number says nothing of the size, and must not spoil the mean.
             let weight = f32::from_le_bytes(entries.array()?);
             let weight = if weight.is_finite() { f64::from(weight.max(0.0)) } else { 0.0 };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,7 +49,7 @@
         state: ServerState::Ready,
         ready_at: 0,
         zone: 0,
-        cell: (id % 3) as u16,
+        cell: Some((id % 3) as u16),
         weight: 1.0,
         kind: 0,
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -240,20 +240,29 @@
 }
 
 #[test]
-fn a_keyed_request_goes_again_only_within_its_pod() {
-    let turns = Arc::new(AtomicUsize::new(0));
-    let server = |turns: Arc<AtomicUsize>| {
-        Server::new(move |_, _| match turns.fetch_add(1, Ordering::SeqCst) {
-            0 => Act::SayAndClose(Vec::new()),
-            _ => ok("noted"),
-        })
-    };
-    let servers: Vec<Server> = (0..4).map(|_| server(turns.clone())).collect();
-    let entry = |(i, s): (usize, &Server)| target(&format!("s-{i}"), s.address, i as u16 / 2, "ready");
-    let node = Node::new(&servers.iter().enumerate().map(entry).collect::<Vec<_>>());
-    assert_eq!(node.client().ask(&submit()).status(), 200);
-    let pods = [0, 1].map(|pod| servers[2 * pod].count() + servers[2 * pod + 1].count());
-    assert!(pods == [2, 0] || pods == [0, 2], "{pods:?}");
+fn a_keyed_request_goes_again_only_within_its_pod_or_where_there_are_none_to_its_server() {
+    for pods_named in [true, false] {
+        let turns = Arc::new(AtomicUsize::new(0));
+        let server = |turns: Arc<AtomicUsize>| {
+            Server::new(move |_, _| match turns.fetch_add(1, Ordering::SeqCst) {
+                0 => Act::SayAndClose(Vec::new()),
+                _ => ok("noted"),
+            })
+        };
+        let servers: Vec<Server> = (0..4).map(|_| server(turns.clone())).collect();
+        let entry = |(i, s): (usize, &Server)| {
+            let mut entry = target(&format!("s-{i}"), s.address, i as u16 / 2, "ready");
+            if !pods_named {
+                entry.as_object_mut().unwrap().remove("pod_group");
+            }
+            entry
+        };
+        let node = Node::new(&servers.iter().enumerate().map(entry).collect::<Vec<_>>());
+        assert_eq!(node.client().ask(&submit()).status(), 200);
+        let pods = [0, 1].map(|pod| servers[2 * pod].count() + servers[2 * pod + 1].count());
+        assert!(pods == [2, 0] || pods == [0, 2], "{pods:?}");
+        assert!(pods_named || servers.iter().any(|s| s.count() == 2), "sent to two servers");
+    }
 }
 
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -73,7 +73,10 @@
     fn new(seed: u64) -> World {
         let mut dice = fastrand::Rng::with_seed(seed);
         let settings = drawn_settings(&mut dice);
-        let list = servers(1..dice.u64(1..14));
+        let mut list = servers(1..dice.u64(1..14));
+        if dice.u8(..4) == 0 {
+            list.iter_mut().for_each(|s| s.cell = None);
+        }
         let node = Node { balancer: Balancer::new(settings.clone(), seed).unwrap(), now: 50 * S, next: 0 };
         let mut world = World {
             settings: settings.clone(),
@@ -126,7 +129,10 @@
                                 && match group {
                                     Group::All => true,
                                     Group::Zone => earlier.to.zone == to.zone,
-                                    Group::Cell => earlier.to.cell == to.cell,
+                                    Group::Cell if to.cell.is_some() => earlier.to.cell == to.cell,
+                                    Group::Cell => {
+                                        (earlier.to.id, earlier.to.ready_at) == (to.id, to.ready_at)
+                                    }
                                 }
                         }
                     };
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -85,6 +85,25 @@
     assert!(failed(&actions, id), "its servers have forgotten it");
 }
 
+/// A list may name no cells: each server then knows its own keys alone, until it starts anew.
+#[test]
+fn a_keyed_request_goes_again_only_to_its_server_where_no_cells_are_named() {
+    for restarts in [false, true] {
+        let alone = |s: ServerEntry| ServerEntry { cell: None, ..s };
+        let list: Vec<ServerEntry> = servers(1..41).into_iter().map(alone).collect();
+        let mut node = Node::new(settings(), list);
+        let (id, first) = node.arrive(BY_CELL, Some(0));
+        let first = sends(&first, id)[0];
+        if restarts {
+            let now = node.now;
+            node.tell(Event::ServerChanges(vec![ServerEntry { ready_at: now, ..alone(server(first)) }]));
+        }
+        let again = node.end(id, 0, Outcome::Error, MS);
+        let expected = if restarts { vec![] } else { vec![first] };
+        assert_eq!((sends(&again, id), failed(&again, id)), (expected, restarts));
+    }
+}
+
 /// Connections may come up late: a repeat says until when it may begin. Windows of the first attempt are 400 ms here,
 /// and 20 of them are for the way.
 #[test]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -102,7 +102,7 @@
         state: ServerState::Ready,
         ready_at: 0,
         zone: 0,
-        cell: 0,
+        cell: Some(0),
         weight: 1.0,
         kind: 0,
     };
@@ -110,7 +110,7 @@
         state: ServerState::Draining,
         ready_at: 0x5d_1420,
         zone: 1,
-        cell: 5,
+        cell: Some(5),
         weight: 1.5,
         kind: 3,
         ..ready
