Follow a window or a step however long the settings say it is

A class's window of 2^64-1, as somebody may write "for ever", and such a step overflowed:

panicked at src/repeats.rs:34:14: attempt to add with overflow panicked at src/decide.rs:222:70: attempt to multiply with overflow

In a release build the window's end wrapped round to before the first attempt: nothing was repeated, and what waited for a repeat was given up.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -219,7 +219,7 @@
         let in_share = bucket.is_none_or(|bucket| bucket.take(self.now));
         let ask = Ask { id: request.id, class: request.class, in_share, aim_at };
         let pool = request.tenant.map_or(LABELS, |t| self.label(t.into(), self.salt));
-        let give_up_at = self.now + request.remaining.saturating_sub(2 * self.settings.step);
+        let give_up_at = self.now + request.remaining.saturating_sub(self.settings.step.saturating_mul(2));
         let place_until = self.now + (request.remaining as f64 * PLACE) as Micros;
         self.held[pool].push(ask);
         let job = Job { ask, pool, key: request.key, give_up_at, place_until, held: true, ..Job::default() };
@@ -280,7 +280,7 @@
         }
         if !self.looking && self.held.iter().any(|h| !h.is_empty()) {
             self.looking = true;
-            self.actions.push(Action::Wake { after: 2 * self.settings.step, token: LOOK });
+            self.actions.push(Action::Wake { after: self.settings.step.saturating_mul(2), token: LOOK });
         }
     }
 
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -31,6 +31,6 @@
     pub(crate) fn repeat_by(&self, job: &Job) -> Option<Micros> {
         let Effect::Keyed { window, .. } = self.settings.classes[job.ask.class].effect else { return None };
         let first = job.attempts.iter().find(|a| a.fate != Fate::NeverRan)?;
-        Some((first.sent_at + window).saturating_sub(self.settings.step.max(ON_ITS_WAY)))
+        Some(first.sent_at.saturating_add(window).saturating_sub(self.settings.step.max(ON_ITS_WAY)))
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,7 +50,7 @@
     // Any effects, however short their windows, and any times.
     for class in &mut s.classes {
         let group = *dice.choice(&[Group::All, Group::Zone, Group::Cell]).unwrap();
-        let window = dice.u64(..600 * MS);
+        let window = if dice.u8(..8) > 0 { dice.u64(..600 * MS) } else { Micros::MAX };
         if dice.bool() {
             class.effect =
                 *dice.choice(&[Effect::Safe, Effect::Unsafe, Effect::Keyed { group, window }]).unwrap();
@@ -125,7 +125,7 @@
                         Effect::Safe => true,
                         Effect::Unsafe => false,
                         Effect::Keyed { group, window } => {
-                            by.is_some_and(|by| now < by && by + 20 * MS <= earlier.at + window)
+                            by.is_some_and(|by| now < by && by + 20 * MS <= earlier.at.saturating_add(window))
                                 && match group {
                                     Group::All => true,
                                     Group::Zone => earlier.to.zone == to.zone,
