--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,9 +5,10 @@
 //! disruption. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 use std::collections::HashMap;
-use std::fs::File;
+use std::fs::{File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -758,6 +759,180 @@
     Ok(after > 0)
 }
 
+/// A process of a node that is replaced: its child, its second address and when it was started.
+struct Process {
+    child: Child,
+    operator: SocketAddr,
+    started: Instant,
+}
+
+impl Process {
+    /// Starts a process beside others of the node, on the listening socket that the platform holds.
+    fn start(run: &str, listener: &TcpListener, discovery: SocketAddr, entries: &[String]) -> io::Result<Process> {
+        let folder = std::env::temp_dir();
+        let operator = address_of(&TcpListener::bind("127.0.0.1:0")?);
+        let (config, listen) = (folder.join(format!("config-{}.json", operator.port())), address_of(listener));
+        std::fs::write(
+            &config,
+            format!(
+                r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","operator":"{operator}",
+"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{},"settings":{SETTINGS}}}"#,
+                list(41, true, entries)
+            ),
+        )?;
+        let log = File::create(folder.join("node.log"))?;
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("exec 5<&0 0</dev/null; {run}")]).env("GW_CONFIG", &config);
+        command.env("GW_NAME", "n1").env("GW_PASSED_SOCKET", "5").env("GW_LISTEN", listen.to_string());
+        command.env("GW_DISCOVERY", discovery.to_string()).env("GW_OPERATOR", operator.to_string());
+        command.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?))).stdout(Stdio::null()).stderr(log);
+        let started = Instant::now();
+        let child = command.spawn()?;
+        let mut pids = OpenOptions::new().create(true).append(true).open(folder.join("node.pid"))?;
+        writeln!(pids, "{}", child.id())?;
+        Ok(Process { child, operator, started })
+    }
+
+    /// Makes a call to the second address and returns the status.
+    fn call(&self, method: &str, path: &str, body: &str) -> io::Result<u16> {
+        let mut stream = TcpStream::connect(self.operator)?;
+        stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: n1\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+        Ok(read_head(&mut BufReader::new(stream))?.map_or(0, |head| head.status()))
+    }
+
+    /// Waits until the process says yes to `/status`; at most the 6 s that it has for that.
+    fn wait_until_ready(&self) -> io::Result<()> {
+        while self.started.elapsed() < Duration::from_secs(6) {
+            if self.call("GET", "/status", "").unwrap_or(0) == 200 {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        Err(io::Error::other("a new process was not ready within 6 s"))
+    }
+
+    /// Ends the process as in an upgrade: SIGTERM, and SIGKILL 3.7 s later.
+    fn end(&mut self) -> io::Result<()> {
+        Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status()?;
+        let begun = Instant::now();
+        while self.child.try_wait()?.is_none() {
+            if begun.elapsed() >= Duration::from_millis(3700) {
+                self.child.kill()?;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The number of starts in the node's state file, as a sign of when a process has started.
+fn counted_starts() -> Option<u64> {
+    let text = std::fs::read_to_string(std::env::temp_dir().join("dunelink-n1.json")).ok()?;
+    text.split("\"starts\":").nth(1)?.split([',', '}']).next()?.parse().ok()
+}
+
+/// Case `order`: an operator takes s-0 out while the node's process is replaced, again and again.
+fn order(case: &Case) -> io::Result<bool> {
+    const BODY: &str = r#"{"host":"s-0"}"#;
+    let arrivals: Arc<Mutex<Vec<f64>>> = Arc::default();
+    let (log, record) = (arrivals.clone(), case.record.clone());
+    let answer: Arc<Answer> = Arc::new(move |request: &Received, stream: &mut TcpStream| {
+        if request.server == 0 {
+            log.lock().unwrap().push(record.now());
+        }
+        thread::sleep(Duration::from_millis(10));
+        stream.write_all(&answer_for(request))
+    });
+    let servers: Vec<SocketAddr> =
+        (0..4).map(|i| map_server(i, &case.record, answer.clone())).collect::<io::Result<_>>()?;
+    let entries: Vec<String> = servers.iter().enumerate().map(|(i, at)| entry(i, *at, "ready")).collect();
+    let discovery = address_of(&Discovery::start(entries.clone(), Duration::ZERO, &case.record)?.listener);
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let mut old = Process::start(&case.run, &listener, discovery, &entries)?;
+    old.wait_until_ready()?;
+    let until = case.record.now() + 95.0;
+    let clients = run_clients(case, address_of(&listener), 8, 0.05, until + 8.0, Arc::new(|_: &str, _: &str, _: &End| {}));
+    let mut random = Random::new(std::process::id().into());
+    let (mut registered, mut upgrades, mut broken) = (Vec::<f64>::new(), 0, 0);
+    while case.record.now() < until && broken < 3 {
+        // All of the call but its last byte is sent ahead, so that its moment can be chosen.
+        let mut call = TcpStream::connect(old.operator)?;
+        call.set_nodelay(true)?;
+        call.set_read_timeout(Some(Duration::from_secs(2)))?;
+        let (body, last) = BODY.split_at(BODY.len() - 1);
+        let length = BODY.len();
+        write!(call, "POST /maintenance/enter HTTP/1.1\r\nHost: n1\r\nContent-Length: {length}\r\n\r\n{body}")?;
+        thread::sleep(Duration::from_millis(20));
+        let starts = counted_starts().unwrap_or(0);
+        let mut reply = BufReader::new(call.try_clone()?);
+        if !case.trouble {
+            call.write_all(last.as_bytes())?;
+            read_head(&mut reply)?;
+        }
+        registered.sort_by(f64::total_cmp);
+        let usual = registered.get(registered.len() / 2).copied().unwrap_or(0.004);
+        let moment = (usual + random.between(-0.002, 0.0005)).max(0.0);
+        let new = Process::start(&case.run, &listener, discovery, &entries)?;
+        let (mut sent, mut took) = (!case.trouble, None);
+        while !sent || took.is_none() && new.started.elapsed() < Duration::from_millis(60) {
+            let elapsed = new.started.elapsed().as_secs_f64();
+            if !sent && elapsed >= moment {
+                call.write_all(last.as_bytes())?;
+                sent = true;
+            }
+            if took.is_none() && counted_starts() == Some(starts + 1) {
+                took = Some(elapsed);
+            }
+        }
+        // A start that waited for the file's lock tells nothing of the usual time.
+        registered.extend(took.filter(|took| *took < usual + 0.003 || registered.len() < 5));
+        if registered.len() > 15 {
+            registered.remove(if upgrades % 2 == 0 { 0 } else { 15 });
+        }
+        let status = if case.trouble { read_head(&mut reply)?.map_or(0, |head| head.status()) } else { 200 };
+        let yes = case.record.now();
+        new.wait_until_ready()?;
+        old.end()?;
+        upgrades += 1;
+        case.record.line(&format!(
+            "upgrade {upgrades}: call to take s-0 out at {:.2} ms, start counted at {:.2} ms, answer {status}; the old \
+             process has ended",
+            moment * 1e3,
+            took.unwrap_or(0.0) * 1e3
+        ));
+        let ended = case.record.now();
+        thread::sleep(Duration::from_millis(250));
+        let later = |than: f64| arrivals.lock().unwrap().iter().filter(|at| **at > than).count();
+        if status == 200 && later(ended) > 0 {
+            // 2 s of grace, 50 ms of slack on sockets, 150 ms for a node that is held up.
+            thread::sleep(seconds(yes + 5.0 - case.record.now()));
+            let after = later(yes + 2.2);
+            broken += usize::from(after > 0);
+            case.record.say(&format!(
+                "upgrade {upgrades}: s-0 was taken out and got {after} requests from 2.2 s to 5 s after the node's yes"
+            ));
+        }
+        old = new;
+        old.call("POST", "/maintenance/exit", BODY)?;
+        thread::sleep(Duration::from_millis(30));
+    }
+    let total = arrivals.lock().unwrap().len();
+    case.record.say(&format!("{upgrades} upgrades, {broken} of them broke the rule; s-0 got {total} requests in all"));
+    drop((old, clients));
+    if total == 0 {
+        return Err(io::Error::other("s-0 got no requests"));
+    }
+    Ok(broken > 0)
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, name, path, run] = &arguments[..] else {
@@ -782,6 +957,7 @@
         "second" => second(&case),
         "long" => long(&case),
         "late" => late(&case),
+        "order" => order(&case),
         _ => Err(io::Error::other("no such case")),
     };
     let status = match result {
