Log what the connections are used for when no more are accepted

From outside, three causes look alike: all connections have open requests, the idle ones are not selected to be closed, or they were asked to close and do not.

Change: once no connection could be accepted for a second, the node logs how many are open, how many of them have an open request, and how many were asked to close; once for each such wait.

--- a/src/node/downstream/connections.rs
+++ b/src/node/downstream/connections.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -45,6 +46,23 @@
     }
 }
 
+/// What the open connections are used for.
+pub struct ConnectionUsage {
+    /// Number of open connections.
+    open: usize,
+    /// Number of connections with an open request.
+    active: usize,
+    /// Number of connections that were asked to close and are still open.
+    closing: usize,
+}
+
+impl fmt::Display for ConnectionUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ConnectionUsage { open, active, closing } = self;
+        write!(f, "{open} are open, {active} of them have an open request, {closing} were asked to close")
+    }
+}
+
 /// Identifies a connection in the table.
 type ConnectionId = u64;
 
@@ -113,6 +131,15 @@
         self.open.borrow().len() > self.limits.get().max_open
     }
 
+    /// Returns what the open connections are used for.
+    pub fn usage(&self) -> ConnectionUsage {
+        ConnectionUsage {
+            open: self.open.borrow().len(),
+            active: self.active.get(),
+            closing: self.closing.get(),
+        }
+    }
+
     /// Returns whether more requests are open than may be served.
     pub fn exceeds_served_limit(&self) -> bool {
         self.active.get() > self.limits.get().max_served
--- a/src/node/downstream/listener.rs
+++ b/src/node/downstream/listener.rs
@@ -5,7 +5,7 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::downstream::connection::Connection;
 use crate::downstream::server::DownstreamServer;
@@ -16,6 +16,8 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 /// Time without a new connection after which the backlog counts as empty, once accepting has to stop.
 const LAST_ACCEPT_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time without capacity for another connection after which the node logs what its connections are used for.
+const FULL_TABLE_LOG_DELAY: Duration = Duration::from_secs(1);
 
 impl DownstreamServer {
     /// Accepts connections until `stop` is notified, and then those that are left in the kernel's backlog.
@@ -51,12 +53,22 @@
     /// Waits until another connection is allowed. Until then, new connections stay in the kernel's backlog.
     /// Accepting one and dropping it would lose a request.
     async fn wait_for_capacity(&self) {
+        let mut log_at = Some(Instant::now() + FULL_TABLE_LOG_DELAY);
         while !self.connections().has_capacity() {
+            if log_at.take_if(|log_at| *log_at <= Instant::now()).is_some() {
+                self.log_full_table();
+            }
             self.connections().close_longest_idle();
             self.connections().wait_for_removal(ACCEPT_BACKOFF).await;
         }
     }
 
+    /// Logs that no connection has been accepted for [`FULL_TABLE_LOG_DELAY`].
+    fn log_full_table(&self) {
+        let usage = self.connections().usage();
+        log!("{} accepts no more connections from clients: {usage}", self.node_name());
+    }
+
     /// Serves a new connection in a task of its own.
     pub fn serve(&self, stream: TcpStream) -> Rc<Connection> {
         // A failure is ignored: without `TCP_NODELAY` the connection is slower, but still correct.
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -60,6 +60,10 @@
         DownstreamServer { config, upstream, lifecycle, connections, service: Rc::new(service) }
     }
 
+    pub(super) fn node_name(&self) -> &str {
+        &self.config.name
+    }
+
     pub(super) fn connections(&self) -> &Rc<ConnectionTable> {
         &self.connections
     }
--- a/tests/node/connection_limits.rs
+++ b/tests/node/connection_limits.rs
@@ -68,3 +68,24 @@
     assert!((0..1000).any(|_| node.client().exchange(&view_request()).status() == 200));
     drop(idle_clients);
 }
+
+/// Guards against a node that accepts nothing and does not say why.
+#[test]
+fn a_full_connection_table_is_logged_with_its_usage() {
+    let upstream = ScriptedEndpoint::new(|_, _| Reply::Never);
+    let (node, log) = Node::with_sockets_and_log(&[ready_endpoint("a", &upstream)], 64);
+    // 24 of the 36 descriptors for connections are for clients, and 22 of these for requests that are served.
+    let mut busy_clients: Vec<Connection> = (0..22).map(|_| node.client()).collect();
+    busy_clients.iter_mut().for_each(|client| client.send(&view_request()));
+    let mut slow_clients: Vec<Connection> = (0..2).map(|_| node.client()).collect();
+    slow_clients.iter_mut().for_each(|client| client.send(b"GET /view/1 HTTP/1.1\r\n"));
+    let _waiting_client = node.client();
+    let is_report = |line: &String| line.contains("accepts no more connections");
+    let next_line = || log.recv_timeout(EVENT_TIMEOUT).expect("the full table is not logged");
+    let line = std::iter::repeat_with(next_line).find(is_report).unwrap();
+    assert_eq!(
+        line,
+        "mothspool: n0 accepts no more connections from clients: 24 are open, 22 of them have an open request, \
+         0 were asked to close"
+    );
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 
 use serde_json::{Value, json};
@@ -98,6 +99,15 @@
         Launch { sockets, ..Launch::new(node_command()) }.start(endpoints, |_| {})
     }
 
+    /// Starts a node with this value of `limits.sockets`, and returns it with the further lines of its log.
+    pub fn with_sockets_and_log(endpoints: &[Value], sockets: usize) -> (Node, Receiver<String>) {
+        let launch = Launch { sockets, ..Launch::new(node_command()) };
+        let (node, log) = launch.start_with_log(endpoints, |_| {});
+        let (sender, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        (node, lines)
+    }
+
     /// Starts a node whose process is limited to this many descriptors, regardless of its configuration.
     pub fn with_descriptor_limit(endpoints: &[Value], descriptors: usize) -> Node {
         let mut shell = Command::new("sh");
