Close connections on which only empty lines were sent

Five a second take a node with 256 descriptors out of service after some 30 s: 81 of 760 requests of sound clients were never answered, and 200 of 200 peers got neither an error nor a close within 3 s. A graceful shutdown waited for such a peer until SIGKILL.

Cause: an empty line is no part of a request, so the connection counts as idle and is asked to close after 2.5 s. hyper's graceful_shutdown does not close a connection whose first request has not been read if its read buffer holds bytes; it goes on waiting for the request. The connection stayed in the table, marked as closing, and was not asked again.

Change: a connection that is asked to close before its first request's head was read, with nothing of a request arriving, is dropped by its own task. Nothing was written to it, so nothing is lost; an open request goes on as before.

Four new tests failed before: three of the node, one unit test; a fifth fails for a fix that does not look for an open request.

--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -64,6 +64,11 @@
         self.first_request_pending.get()
     }
 
+    /// Returns whether the head of the connection's first request has not been read yet.
+    pub fn awaits_first_request(&self) -> bool {
+        self.is_first_request_pending() && self.idle_since.get().is_some()
+    }
+
     /// Returns whether the connection was asked to close.
     pub fn is_closing(&self) -> bool {
         self.closing.get()
--- a/src/node/downstream/service.rs
+++ b/src/node/downstream/service.rs
@@ -64,6 +64,10 @@
                 () = connection.close_requested() => {
                     if connection.has_incoming_request() {
                         self.connections.cancel_close(connection);
+                    } else if connection.awaits_first_request() {
+                        // Nothing was written to the connection. A graceful shutdown would not end it if
+                        // hyper has read empty lines, since a request may follow them.
+                        return;
                     } else {
                         serving.as_mut().graceful_shutdown();
                     }
--- a/tests/node/connection_limits.rs
+++ b/tests/node/connection_limits.rs
@@ -14,6 +14,19 @@
     drop(idle_clients);
 }
 
+/// Guards against a node that accepts nothing more because peers that sent an empty line hold all connections.
+#[test]
+fn connections_on_which_only_an_empty_line_was_sent_are_closed_for_new_clients() {
+    let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
+    let node = Node::with_sockets(&[ready_endpoint("a", &upstream)], 64);
+    // With 64 descriptors there are 24 connections for clients.
+    let mut peers: Vec<Connection> = (0..24).map(|_| node.client()).collect();
+    peers.iter_mut().for_each(|peer| peer.send(b"\r\n"));
+    assert_eq!(node.health(), 200);
+    assert_eq!(node.client().exchange(&view_request()).body, b"done");
+    drop(peers);
+}
+
 #[test]
 fn a_new_connection_is_not_closed_before_its_first_request() {
     let upstream = ScriptedEndpoint::new(|_, _| Reply::Never);
--- a/tests/node/shutdown.rs
+++ b/tests/node/shutdown.rs
@@ -81,6 +81,19 @@
     assert!(responses.iter().all(Option::is_some), "{responses:?}");
 }
 
+/// Guards against a shutdown that waits for a connection which never closes.
+#[test]
+fn a_peer_that_sent_only_an_empty_line_is_not_waited_for() {
+    let mut node = start_with_short_deadlines(&[], 1024);
+    let mut peer = node.client();
+    peer.send(b"\r\n");
+    pause_200_ms();
+    let signalled_at = Instant::now();
+    node.terminate();
+    kill_when_due(&mut node, signalled_at);
+    assert!(node.wait_for_exit().success(), "the node was still running before SIGKILL");
+}
+
 #[test]
 fn a_partially_read_request_at_sigterm_is_answered() {
     let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -32,6 +32,52 @@
     assert_eq!(upstream.request_count(), 1);
 }
 
+/// Within this time of connecting, a peer that sends no request has to get an error or a close.
+const MAX_TIME_WITHOUT_REQUEST: Duration = Duration::from_secs(3);
+
+/// Guards against connections that never close because their peers send empty lines and no request.
+#[test]
+fn peers_that_send_no_request_are_closed_in_time() {
+    let node = Node::start(&[]);
+    let openings: [&[u8]; 5] = [b"", b"\r", b"\n", b"\r\n", b"\r\n\r\n\n"];
+    thread::scope(|scope| {
+        for opening in openings {
+            let mut peer = node.client();
+            scope.spawn(move || {
+                let connected_at = Instant::now();
+                peer.send(opening);
+                assert!(peer.closes_after_any_data());
+                let elapsed = connected_at.elapsed();
+                assert!(elapsed < MAX_TIME_WITHOUT_REQUEST, "{opening:?}: {elapsed:?}");
+            });
+        }
+        let mut peer = node.client();
+        scope.spawn(move || {
+            let connected_at = Instant::now();
+            while !peer.has_unread_data() && connected_at.elapsed() < MAX_TIME_WITHOUT_REQUEST {
+                peer.send(b"\r\n");
+                thread::sleep(Duration::from_millis(50));
+            }
+            let elapsed = connected_at.elapsed();
+            assert!(elapsed < MAX_TIME_WITHOUT_REQUEST, "an empty line every 50 ms: {elapsed:?}");
+        });
+    });
+}
+
+#[test]
+fn an_empty_line_neither_keeps_a_connection_open_nor_spoils_the_request_that_follows() {
+    let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let mut client = node.client();
+    for _ in 0..2 {
+        client.send(b"\r\n");
+        pause_200_ms();
+        assert_eq!(client.exchange(&view_request()).body, b"done");
+    }
+    client.send(b"\r\n");
+    assert!(client.closes_without_data());
+}
+
 #[test]
 fn an_upload_times_out_only_without_progress() {
     let upstream =
--- a/tests/unit/downstream.rs
+++ b/tests/unit/downstream.rs
@@ -3,14 +3,16 @@
 use std::io::{Read, Write};
 use std::net::TcpStream as BlockingStream;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{LocalSet, spawn_local, yield_now};
 
 use super::DownstreamServer;
 use super::connection::Connection;
 use crate::body::BufferBudget;
-use crate::engine::EngineHandle;
+use crate::engine::{EngineEvent, EngineHandle, FinalAnswer};
 use crate::lifecycle::Lifecycle;
 use crate::unit_support::config;
 use crate::upstream::UpstreamPool;
@@ -18,21 +20,36 @@
 const HEALTH_CHECK: &[u8] = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
 /// Number of bytes of the health check that are sent while its connection is asked to end.
 const FIRST_PART_BYTES: usize = 9;
+/// Maximum time in which a connection that was asked to close has to be removed from the table.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A request that the node forwards to an endpoint.
+const VIEW_REQUEST: &[u8] = b"GET /view/1 HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nReq-Deadline: 0.9\r\n\r\n";
 
 fn new_server() -> DownstreamServer {
+    new_server_with_events().0
+}
+
+/// Returns a server and the events that it sends to the engine.
+fn new_server_with_events() -> (DownstreamServer, UnboundedReceiver<EngineEvent>) {
     let config = config();
     let buffer_budget = BufferBudget::new(config.limits.memory);
     let upstream = Rc::new(UpstreamPool::new(&config, buffer_budget.clone()));
-    let (engine, _) = EngineHandle::new(1, upstream.clone());
+    let (engine, events) = EngineHandle::new(1, upstream.clone());
     let lifecycle = Rc::new(Lifecycle::new(upstream.clone()));
-    DownstreamServer::new(config, engine, upstream, lifecycle, buffer_budget)
+    (DownstreamServer::new(config, engine, upstream, lifecycle, buffer_budget), events)
+}
+
+/// Returns a client that has sent nothing, and its connection.
+async fn open_connection(server: &DownstreamServer) -> (BlockingStream, Rc<Connection>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = BlockingStream::connect(listener.local_addr().unwrap()).unwrap();
+    (client, server.serve(listener.accept().await.unwrap().0))
 }
 
 /// Returns a client whose connection was kept alive and is idle, and that connection.
 async fn open_idle_connection(server: &DownstreamServer) -> (BlockingStream, Rc<Connection>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let mut client = BlockingStream::connect(listener.local_addr().unwrap()).unwrap();
-    let connection = server.serve(listener.accept().await.unwrap().0);
+    let (mut client, connection) = open_connection(server).await;
     client.write_all(HEALTH_CHECK).unwrap();
     while connection.is_first_request_pending() || connection.idle_since_if_closable().is_none() {
         yield_now().await;
@@ -41,6 +58,12 @@
     (client, connection)
 }
 
+/// Makes the runtime poll the kernel before it runs the tasks of connections: spawns more tasks than it runs
+/// between two polls of the kernel.
+fn delay_connection_tasks() {
+    (0..200).for_each(|_| drop(spawn_local(async {})));
+}
+
 /// Returns what a client receives if `request_end` asks its idle connection to end just before the client
 /// sends a request. As under load, the runtime polls the kernel before it runs the connection's task.
 fn response_to_request_during(request_end: impl FnOnce(&DownstreamServer, &Connection)) -> String {
@@ -48,8 +71,7 @@
     LocalSet::new().block_on(&runtime, async {
         let server = new_server();
         let (mut client, connection) = open_idle_connection(&server).await;
-        // More tasks than the runtime runs between two polls of the kernel.
-        (0..200).for_each(|_| drop(spawn_local(async {})));
+        delay_connection_tasks();
         request_end(&server, &connection);
         client.write_all(&HEALTH_CHECK[..FIRST_PART_BYTES]).unwrap();
         while !connection.observer().has_request_started() && !server.connections().is_empty() {
@@ -90,3 +112,48 @@
     let response = response_to_request_during(|_, connection| connection.request_abort());
     assert!(response.starts_with("HTTP/1.1 "), "{response:?}");
 }
+
+/// A connection whose peer sent no request must close, although hyper has read an empty line from it. hyper
+/// would wait for the request that the line might precede.
+#[test]
+fn a_connection_on_which_only_an_empty_line_was_read_closes_when_asked_to() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let server = new_server();
+        let (mut client, connection) = open_connection(&server).await;
+        client.write_all(b"\r\n").unwrap();
+        while !connection.observer().has_unread_data() {}
+        while connection.observer().has_unread_data() {
+            yield_now().await;
+        }
+        server.connections().close(&connection);
+        server.connections().wait_for_removal(CLOSE_TIMEOUT).await;
+        assert!(server.connections().is_empty());
+    });
+}
+
+/// A connection's first request may be open, with nothing unread, by the time its task learns that the
+/// connection has to close.
+#[test]
+fn a_first_request_that_arrives_while_its_connection_is_asked_to_close_is_answered() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let response = LocalSet::new().block_on(&runtime, async {
+        let (server, mut events) = new_server_with_events();
+        let (mut client, connection) = open_connection(&server).await;
+        // The connection's task runs until it waits for data.
+        yield_now().await;
+        delay_connection_tasks();
+        server.connections().close(&connection);
+        client.write_all(VIEW_REQUEST).unwrap();
+        let Some(EngineEvent::RequestArrived { answer_sender, .. }) = events.recv().await else {
+            panic!("the request has not arrived")
+        };
+        // The connection's task learns of the close before the request is answered.
+        yield_now().await;
+        let _ = answer_sender.send(FinalAnswer::Rejected { retry_after: None });
+        drop(connection);
+        client.set_nonblocking(true).unwrap();
+        read_first_bytes(TcpStream::from_std(client).unwrap()).await
+    });
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+}
