Stream a response of unknown length before its client's time runs out

Cause: a body of unknown length is buffered up to 64 KiB, 1.02 s at this rate, and the balancer is not told meanwhile that a response has begun; its answer deadline then gave the final answer and cancelled the attempt.

Change: such a response is buffered for half of the time that its client had left when it began, up to the latency objective or else the deadline; the next piece has it streamed, if it comes at half of the required rate. Slower ones fail at the deadline as before. One that was streamed early and pauses for 300 ms within its first 64 KiB is cut off. The moment follows from the request's own times, so it holds for any class, rate and deadline, with half as a margin.

--- a/src/node/body/budget.rs
+++ b/src/node/body/budget.rs
@@ -10,7 +10,7 @@
 use crate::config::max_buffered_bytes;
 
 /// Maximum length of a body that is buffered, in bytes.
-const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
+pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Maximum size of the pieces in which the buffered part of a larger body is passed on, in bytes.
 const MAX_PIECE_BYTES: usize = 8 << 10;
 
@@ -113,10 +113,10 @@
 }
 
 impl BufferedPrefix {
-    /// Creates a prefix of what was buffered, if anything, and the first piece that was not buffered.
-    pub fn new(buffer: Option<BodyBuffer>, overflow: Bytes) -> BufferedPrefix {
+    /// Creates a prefix of what was buffered, if anything, and the first piece that was not buffered, if any.
+    pub fn new(buffer: Option<BodyBuffer>, overflow: Option<Bytes>) -> BufferedPrefix {
         let buffered = buffer.map(BodyBuffer::freeze).filter(|(bytes, _)| !bytes.is_empty());
-        BufferedPrefix { buffered, overflow: Some(overflow) }
+        BufferedPrefix { buffered, overflow }
     }
 
     /// Returns the number of bytes that are still to be passed on.
--- a/src/node/body/mod.rs
+++ b/src/node/body/mod.rs
@@ -4,9 +4,11 @@
 //!
 //! [`budget`] manages the memory, [`incoming`] counts the bytes that hyper receives and limits their number.
 //! [`request`] reads request bodies, for which [`pacing`] enforces a minimum rate, and [`outbound`] sends
-//! them. [`response`] reads and sends response bodies.
+//! them. [`response`] reads and sends response bodies; [`early_streaming`] decides when one of unknown length
+//! is streamed before it is known to be large.
 
 mod budget;
+mod early_streaming;
 mod error;
 mod incoming;
 mod outbound;
@@ -14,9 +16,11 @@
 mod request;
 mod response;
 
-pub use budget::{BufferBudget, BufferedPrefix};
+pub use budget::BufferBudget;
+pub use early_streaming::EarlyStreaming;
 pub use error::BodyError;
-pub use incoming::IncomingBody;
 pub use outbound::OutboundBody;
 pub use request::{RequestBody, UploadProgress};
-pub use response::{ResponseBody, ResponsePrefix, StreamingResponseBody, TransferEnd};
+pub use response::{
+    ResponseBody, ResponsePrefix, SMALL_RESPONSE_STALL_TIMEOUT, StreamingResponseBody, TransferEnd,
+};
--- a/src/node/body/pacing.rs
+++ b/src/node/body/pacing.rs
@@ -10,13 +10,18 @@
 use crate::body::error::BodyError;
 use crate::body::incoming::IncomingBody;
 
-/// Minimum rate at which a client may send. The rate that is required of clients is twice as high; the
+/// Minimum rate at which a peer may send a body. The rate that is required of peers is twice as high; the
 /// difference is a tolerance for machines that run unevenly.
-const MIN_UPLOAD_BYTES_PER_SECOND: f64 = 32_000.0;
+const MIN_BYTES_PER_SECOND: f64 = 32_000.0;
 /// Maximum time that a client may pause after it has sent data, however much that was. A deadline that is
 /// already later stays. A client that keeps to the required rate may send the data of one second at once.
 const MAX_UPLOAD_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Returns the time in which a peer that sends at the minimum rate sends this many bytes.
+pub fn time_at_minimum_rate(bytes: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND)
+}
+
 /// A client's body, with a minimum rate at which it has to be received.
 pub struct PacedBody {
     body: IncomingBody,
@@ -89,11 +94,11 @@
     /// new_deadline = max(deadline, min(deadline + bytes / rate, now + pause))
     /// ```
     ///
-    /// `rate` is [`MIN_UPLOAD_BYTES_PER_SECOND`], `pause` is [`MAX_UPLOAD_PAUSE`], `now` is the time of the
+    /// `rate` is [`MIN_BYTES_PER_SECOND`], `pause` is [`MAX_UPLOAD_PAUSE`], `now` is the time of the
     /// reception, and `deadline` and `new_deadline` are `progress_deadline` before and after the extension.
     /// Times are in seconds.
     fn extend_deadline(&mut self, bytes: usize) {
-        let extension = Duration::from_secs_f64(bytes as f64 / MIN_UPLOAD_BYTES_PER_SECOND);
+        let extension = time_at_minimum_rate(bytes as u64);
         self.progress_deadline = self
             .progress_deadline
             .max((self.progress_deadline + extension).min(Instant::now() + MAX_UPLOAD_PAUSE));
--- a/src/node/body/request.rs
+++ b/src/node/body/request.rs
@@ -212,7 +212,7 @@
 async fn buffer_body(body: &mut PacedBody, mut buffer: BodyBuffer) -> Result<Buffering, BodyError> {
     while let Some(piece) = body.data().await? {
         if let Err(overflow) = buffer.push(piece) {
-            return Ok(Buffering::Exceeded(BufferedPrefix::new(Some(buffer), overflow)));
+            return Ok(Buffering::Exceeded(BufferedPrefix::new(Some(buffer), Some(overflow))));
         }
     }
     let (bytes, reservation) = buffer.freeze();
--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -9,36 +9,51 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
-use crate::body::budget::{BodyBuffer, BufferBudget, BufferReservation, BufferedPrefix};
+use crate::body::budget::{
+    BodyBuffer, BufferBudget, BufferReservation, BufferedPrefix, MAX_BUFFERED_BODY_BYTES,
+};
+use crate::body::early_streaming::EarlyStreaming;
 use crate::body::incoming::{IncomingBody, ReceiveError};
 use crate::body::outbound::take_frame;
 
-/// Maximum time that an endpoint may pause within a response that is already being streamed to its client. It
-/// is long because aborting such a response benefits only the next request in the queue.
-const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time that an endpoint may pause within a response that is buffered, or that may still be small.
+pub const SMALL_RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time that an endpoint may pause within a large response that is already being streamed to its
+/// client. It is long because aborting such a response benefits only the next request in the queue.
+const LARGE_RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The part of an endpoint's response body that is read before the response is passed on.
 pub enum ResponsePrefix {
     /// The whole body, and the reservation for its memory, if any.
     Complete(Bytes, Option<BufferReservation>),
-    /// The beginning of a body that was not buffered completely, and its unread rest.
-    Partial(BufferedPrefix, IncomingBody),
+    /// A body that was not buffered completely.
+    Partial(Box<StreamingResponseBody>),
 }
 
 impl ResponsePrefix {
-    /// Reads the whole body if it is small and `budget` has capacity, otherwise only its first pieces.
-    pub async fn read(body: Incoming, budget: &Rc<BufferBudget>) -> Result<ResponsePrefix, ReceiveError> {
+    /// Reads the whole body if it is small and `budget` has capacity, otherwise only its first pieces. A body
+    /// of unknown length is read until `early_streaming` is due.
+    pub async fn read(
+        body: Incoming,
+        budget: &Rc<BufferBudget>,
+        early_streaming: &EarlyStreaming,
+    ) -> Result<ResponsePrefix, ReceiveError> {
         let mut body = IncomingBody::new(body)?;
-        let mut buffer = budget.reserve(&body.size_hint()).map(BodyBuffer::new);
+        let size = body.size_hint();
+        let mut buffer = budget.reserve(&size).map(BodyBuffer::new);
         while let Some(data) = body.data().await? {
-            let pushed = match &mut buffer {
-                Some(buffer) => buffer.push(data),
-                None => Err(data),
+            let overflow = match &mut buffer {
+                Some(buffer) => buffer.push(data).err(),
+                None => Some(data),
             };
-            if let Err(overflow) = pushed {
-                return Ok(ResponsePrefix::Partial(BufferedPrefix::new(buffer, overflow), body));
+            let exceeds_buffer = overflow.is_some();
+            let is_due = size.exact().is_none() && early_streaming.is_due(body.received(), Instant::now());
+            if exceeds_buffer || is_due {
+                let prefix = BufferedPrefix::new(buffer, overflow);
+                let body = StreamingResponseBody::new(prefix, body, !exceeds_buffer);
+                return Ok(ResponsePrefix::Partial(Box::new(body)));
             }
         }
         let (bytes, reservation) = buffer.map(BodyBuffer::freeze).unzip();
@@ -60,8 +75,8 @@
 /// The reason why a streamed response was aborted.
 #[derive(Debug, thiserror::Error)]
 enum TransferError {
-    #[error("no response data was received from the endpoint for {} s", STALL_TIMEOUT.as_secs())]
-    Stalled,
+    #[error("no response data was received from the endpoint for {0:?}")]
+    Stalled(Duration),
     #[error("the response body could not be received")]
     Receive(#[from] ReceiveError),
 }
@@ -70,22 +85,22 @@
 pub struct StreamingResponseBody {
     prefix: BufferedPrefix,
     rest: IncomingBody,
-    /// Set while more of the body is awaited; completes when the endpoint has sent nothing for
-    /// [`STALL_TIMEOUT`].
+    /// Whether the body was streamed early, so that it may turn out to be small.
+    may_be_small: bool,
+    /// Set while more of the body is awaited; completes when the endpoint has paused for too long.
     stall_timer: Option<Pin<Box<Sleep>>>,
     /// Called once, when the transfer ends.
     on_end: Option<Box<dyn FnOnce(TransferEnd)>>,
 }
 
 impl StreamingResponseBody {
-    /// Creates a body from the contents of [`ResponsePrefix::Partial`]. `on_end` is called once, with the way
-    /// in which the transfer ended.
-    pub fn new(
-        prefix: BufferedPrefix,
-        rest: IncomingBody,
-        on_end: impl FnOnce(TransferEnd) + 'static,
-    ) -> StreamingResponseBody {
-        StreamingResponseBody { prefix, rest, stall_timer: None, on_end: Some(Box::new(on_end)) }
+    fn new(prefix: BufferedPrefix, rest: IncomingBody, may_be_small: bool) -> StreamingResponseBody {
+        StreamingResponseBody { prefix, rest, may_be_small, stall_timer: None, on_end: None }
+    }
+
+    /// Sets the function that is called once, with the way in which the transfer ended.
+    pub fn on_end(&mut self, on_end: impl FnOnce(TransferEnd) + 'static) {
+        self.on_end = Some(Box::new(on_end));
     }
 
     fn end(&mut self, end: TransferEnd) {
@@ -118,13 +133,22 @@
                 Poll::Ready(received.map_err(TransferError::Receive))
             }
             Poll::Pending => {
-                let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep(STALL_TIMEOUT)));
+                let timeout = self.stall_timeout();
+                let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
                 ready!(timer.as_mut().poll(cx));
-                Poll::Ready(Err(TransferError::Stalled))
+                Poll::Ready(Err(TransferError::Stalled(timeout)))
             }
         }
     }
 
+    /// Returns the maximum time that the endpoint may pause now.
+    fn stall_timeout(&self) -> Duration {
+        match self.may_be_small && self.rest.received() <= MAX_BUFFERED_BODY_BYTES as u64 {
+            true => SMALL_RESPONSE_STALL_TIMEOUT,
+            false => LARGE_RESPONSE_STALL_TIMEOUT,
+        }
+    }
+
     fn is_end_stream(&self) -> bool {
         self.prefix.is_empty() && self.rest.is_end_stream()
     }
@@ -161,8 +185,8 @@
     }
 
     /// Creates a body that is streamed.
-    pub fn streaming(body: StreamingResponseBody) -> ResponseBody {
-        ResponseBody { content: Content::Streaming(Box::new(body)), _guard: None }
+    pub fn streaming(body: Box<StreamingResponseBody>) -> ResponseBody {
+        ResponseBody { content: Content::Streaming(body), _guard: None }
     }
 
     /// Keeps `guard` until hyper has taken the last of the body.
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -36,6 +36,10 @@
     client_request_id: Box<str>,
     /// How long the client waits, counted from the last byte of its request.
     timeout: Duration,
+    /// Latency objective of the response, at most `timeout`.
+    latency_objective: Duration,
+    /// The client's estimate of the work, if the request has one.
+    expected_work: Option<Duration>,
     /// Index of the tenant in the settings, if the request names a known tenant.
     tenant: Option<u32>,
 }
@@ -54,8 +58,21 @@
         }
         // No client waits longer than its class allows. This also bounds all work on the request.
         let timeout = deadline.min(class.deadline).saturating_sub(TRANSIT_ALLOWANCE);
+        let expected_work = parse_expected_work(&headers);
+        let objective = config.settings.classes[class.index].objective_for(expected_work);
+        let latency_objective = objective.min(timeout);
         let tenant = single_value(&headers, &REQ_OWNER).and_then(|name| config.tenants.get(name)).copied();
-        Ok(RequestHead { method, uri, headers, class, client_request_id, timeout, tenant })
+        Ok(RequestHead {
+            method,
+            uri,
+            headers,
+            class,
+            client_request_id,
+            timeout,
+            latency_objective,
+            expected_work,
+            tenant,
+        })
     }
 
     /// Returns the `Req-Id`.
@@ -69,18 +86,12 @@
             id,
             class: self.class.index,
             remaining: self.timeout,
-            expected_work: self.expected_work(),
+            expected_work: self.expected_work,
             affinity_key: self.affinity_key(),
             tenant: self.tenant,
         }
     }
 
-    /// Returns the client's estimate of the work, from `Req-Cost` in microseconds.
-    fn expected_work(&self) -> Option<Duration> {
-        let micros: f64 = single_value(&self.headers, &REQ_COST)?.parse().ok()?;
-        (micros > 0.0).then_some(Duration::from_micros(micros as u64))
-    }
-
     /// Returns a hash of the object that the request concerns. It is named by the last part of the path, if
     /// the path has more than the class.
     fn affinity_key(&self) -> Option<u64> {
@@ -105,6 +116,7 @@
             headers,
             body,
             timeout: self.timeout,
+            latency_objective: self.latency_objective,
             buffered_at,
             non_idempotent: self.class.idempotency == Idempotency::NonIdempotent,
             begin_by: Cell::new(None),
@@ -142,6 +154,12 @@
     }
 }
 
+/// Returns the client's estimate of the work, from `Req-Cost` in microseconds.
+fn parse_expected_work(headers: &HeaderMap) -> Option<Duration> {
+    let micros: f64 = single_value(headers, &REQ_COST)?.parse().ok()?;
+    (micros > 0.0).then_some(Duration::from_micros(micros as u64))
+}
+
 /// Returns the value of a header that is present exactly once and is text.
 fn single_value<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     let mut values = headers.get_all(name).iter();
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -180,7 +180,7 @@
         Outcome::Reset.into()
     }
 
-    /// Reads a small response completely, or the first part of a large one.
+    /// Reads a small response completely, or the first part of one that is streamed.
     async fn read_response(
         &self,
         lease: ConnectionLease,
@@ -188,8 +188,10 @@
     ) -> Result<AttemptOutcome, Outcome> {
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
-        let prefix =
-            ResponsePrefix::read(body, self.pool.buffer_budget()).await.map_err(|_| Outcome::Reset)?;
+        let early_streaming = self.request.early_streaming(Instant::now());
+        let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), &early_streaming)
+            .await
+            .map_err(|_| Outcome::Reset)?;
         let keeps_connection = framing.keeps_connection();
         if head.status == StatusCode::OK {
             return Ok(build_success_outcome(head, prefix, lease, keeps_connection));
@@ -225,8 +227,8 @@
             let body = ResponseBody::buffered(bytes, reservation);
             AttemptOutcome::Served(Response::from_parts(head, body))
         }
-        ResponsePrefix::Partial(prefix, rest) => {
-            let body = StreamingResponse { prefix, rest, lease, keeps_connection };
+        ResponsePrefix::Partial(body) => {
+            let body = StreamingResponse { body, lease, keeps_connection };
             AttemptOutcome::Streaming(Response::from_parts(head, body))
         }
     }
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Request};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::body::{OutboundBody, RequestBody, UploadProgress};
+use crate::body::{EarlyStreaming, OutboundBody, RequestBody, UploadProgress};
 use crate::protocol::headers::REQ_DEADLINE;
 
 /// Interval of the check whether the endpoint still reads the body that is sent to it.
@@ -28,6 +28,8 @@
     pub body: RequestBody,
     /// How long the client waits for the response, counted from the last byte of its request.
     pub timeout: Duration,
+    /// Latency objective of the response, counted from the last byte of the request. At most `timeout`.
+    pub latency_objective: Duration,
     /// Time at which the last byte was received. Used only if the body is buffered.
     pub buffered_at: Instant,
     /// Whether the request must never be executed more than once.
@@ -73,6 +75,23 @@
         }
     }
 
+    /// Returns when a response of unknown length that begins at `began_at` is streamed: once half of the time
+    /// that is left to it has passed.
+    ///
+    /// ```text
+    /// stream_from = began_at + (wanted_by - began_at) / 2
+    /// ```
+    ///
+    /// `wanted_by` is the latency objective, or the client's deadline if the response begins after the
+    /// objective.
+    pub(super) fn early_streaming(&self, began_at: Instant) -> EarlyStreaming {
+        let received_at = self.received_at().unwrap_or(began_at);
+        let objective_at = received_at + self.latency_objective;
+        let wanted_by = if began_at < objective_at { objective_at } else { received_at + self.timeout };
+        let time_left = wanted_by.saturating_duration_since(began_at);
+        EarlyStreaming { began_at, stream_from: began_at + time_left / 2 }
+    }
+
     /// Returns whether the body is being forwarded and the endpoint has read nothing of it for as long as the
     /// client waits for the response, and for at least [`MIN_UPLOAD_STALL_TIMEOUT`].
     fn is_upload_stalled(&self) -> bool {
--- a/src/node/upstream/response.rs
+++ b/src/node/upstream/response.rs
@@ -4,7 +4,7 @@
 use mothspool::Outcome;
 
 use super::pool::ConnectionLease;
-use crate::body::{BufferedPrefix, IncomingBody, ResponseBody, StreamingResponseBody, TransferEnd};
+use crate::body::{ResponseBody, StreamingResponseBody, TransferEnd};
 use crate::protocol::headers::SRV_DECLINED;
 
 /// How the end of a response is determined.
@@ -52,8 +52,7 @@
 
 /// The body of a response of which the first part has been read and the rest is streamed to the client.
 pub struct StreamingResponse {
-    pub(super) prefix: BufferedPrefix,
-    pub(super) rest: IncomingBody,
+    pub(super) body: Box<StreamingResponseBody>,
     /// Held until the end of the response, because dropping it closes the connection.
     pub(super) lease: ConnectionLease,
     pub(super) keeps_connection: bool,
@@ -63,8 +62,8 @@
     /// Converts the response into the body for the client. When the transfer ends, calls `on_end` with the
     /// outcome of the attempt.
     pub fn into_body(self, on_end: impl FnOnce(Outcome) + 'static) -> ResponseBody {
-        let StreamingResponse { prefix, rest, lease, keeps_connection } = self;
-        ResponseBody::streaming(StreamingResponseBody::new(prefix, rest, move |end| match end {
+        let StreamingResponse { mut body, lease, keeps_connection } = self;
+        body.on_end(move |end| match end {
             TransferEnd::Complete => {
                 if keeps_connection {
                     lease.return_idle();
@@ -73,7 +72,8 @@
             }
             TransferEnd::Broken => on_end(Outcome::Reset),
             TransferEnd::ClientDisconnected => on_end(Outcome::Cancelled),
-        }))
+        });
+        ResponseBody::streaming(body)
     }
 }
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -26,5 +26,6 @@
 mod slow_peers;
 mod standby;
 mod startup;
+mod streamed_responses;
 mod upstream_responses;
 mod version_upgrade;
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -193,3 +193,25 @@
     }
     drop(readers);
 }
+
+/// Guards against a body that is held back because its length is unknown: a client may send it at the required
+/// rate for longer than the deadline, which counts from its last byte.
+#[test]
+fn a_slow_chunked_upload_is_forwarded() {
+    const PIECE_BYTES: usize = 8 << 10;
+    const PIECES: usize = 25;
+    // 64,000 bytes a second.
+    const PIECE_INTERVAL: Duration = Duration::from_millis(128);
+    let upstream =
+        ScriptedEndpoint::new(|_, request| Reply::Send(response(200, "", &request.body.len().to_string())));
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let mut client = node.client();
+    let head = String::from_utf8(request_head("POST", "/order/1", "Transfer-Encoding: chunked\r\n")).unwrap();
+    client.send(head.replace("Req-Deadline: 14.0", "Req-Deadline: 0.5").as_bytes());
+    for _ in 0..PIECES {
+        client.send(format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)).as_bytes());
+        thread::sleep(PIECE_INTERVAL);
+    }
+    client.send(b"0\r\n\r\n");
+    assert_eq!(client.receive().body, (PIECES * PIECE_BYTES).to_string().as_bytes());
+}
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -21,6 +21,8 @@
     SendDelayed(Vec<u8>, Duration, Vec<u8>),
     /// Writes these pieces and pauses after each.
     SendInPieces(Vec<Vec<u8>>, Duration),
+    /// Writes these pieces, pauses after each, and closes the connection.
+    SendInPiecesAndClose(Vec<Vec<u8>>, Duration),
     /// Writes nothing and reads the next request.
     Never,
 }
@@ -139,13 +141,19 @@
                 thread::sleep(delay);
                 drop(stream.write_all(&rest));
             }
-            Reply::SendInPieces(pieces, pause) => {
-                for piece in pieces {
-                    drop(stream.write_all(&piece));
-                    thread::sleep(pause);
-                }
+            Reply::SendInPieces(pieces, pause) => send_in_pieces(&mut stream, pieces, pause),
+            Reply::SendInPiecesAndClose(pieces, pause) => {
+                send_in_pieces(&mut stream, pieces, pause);
+                break;
             }
             Reply::Never => {}
         }
     }
 }
+
+fn send_in_pieces(stream: &mut TcpStream, pieces: Vec<Vec<u8>>, pause: Duration) {
+    for piece in pieces {
+        drop(stream.write_all(&piece));
+        thread::sleep(pause);
+    }
+}
