Count the rate of a response from the first piece of its body

Cause: the check that a response of unknown length comes at half of the required rate counted from its head.

Change: the rate counts from the first piece of the body; that piece alone says nothing of it, so the second one is the first that can have the response streamed.

--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -34,11 +34,11 @@
 
 impl ResponsePrefix {
     /// Reads the whole body if it is small and `budget` has capacity, otherwise only its first pieces. A body
-    /// of unknown length is read until `early_streaming` is due.
+    /// of unknown length is read until `early_streaming` has it streamed.
     pub async fn read(
         body: Incoming,
         budget: &Rc<BufferBudget>,
-        early_streaming: &EarlyStreaming,
+        mut early_streaming: EarlyStreaming,
     ) -> Result<ResponsePrefix, ReceiveError> {
         let mut body = IncomingBody::new(body)?;
         let size = body.size_hint();
@@ -49,8 +49,9 @@
                 None => Some(data),
             };
             let exceeds_buffer = overflow.is_some();
-            let is_due = size.exact().is_none() && early_streaming.is_due(body.received(), Instant::now());
-            if exceeds_buffer || is_due {
+            let streams_early =
+                size.exact().is_none() && early_streaming.on_piece(body.received(), Instant::now());
+            if exceeds_buffer || streams_early {
                 let prefix = BufferedPrefix::new(buffer, overflow);
                 let body = StreamingResponseBody::new(prefix, body, !exceeds_buffer);
                 return Ok(ResponsePrefix::Partial(Box::new(body)));
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -189,7 +189,7 @@
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
         let early_streaming = self.request.early_streaming(Instant::now());
-        let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), &early_streaming)
+        let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), early_streaming)
             .await
             .map_err(|_| Outcome::Reset)?;
         let keeps_connection = framing.keeps_connection();
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -89,7 +89,7 @@
         let objective_at = received_at + self.latency_objective;
         let wanted_by = if began_at < objective_at { objective_at } else { received_at + self.timeout };
         let time_left = wanted_by.saturating_duration_since(began_at);
-        EarlyStreaming { began_at, stream_from: began_at + time_left / 2 }
+        EarlyStreaming::new(began_at + time_left / 2)
     }
 
     /// Returns whether the body is being forwarded and the endpoint has read nothing of it for as long as the
