--- a/tests/node/standby.rs
+++ b/tests/node/standby.rs
@@ -50,6 +50,19 @@
     assert_eq!((node.health(), reused.exchange(&view_request()).status()), (200, 200));
 }
 
+/// Guards against a connection that stays open in standby because its peer sent an empty line.
+#[test]
+fn a_connection_on_which_only_an_empty_line_was_sent_closes_in_standby() {
+    let node = Node::with_admin(&[], 1024, &state_dir());
+    let mut peer = node.client();
+    peer.send(b"\r\n");
+    assert_eq!(node.admin_request("POST", "/standby", "").status(), 200);
+    let draining_since = Instant::now();
+    assert!(peer.closes_without_data());
+    // Without standby it would be closed 2.5 s after the peer connected.
+    assert!(draining_since.elapsed() < Duration::from_millis(1800), "{:?}", draining_since.elapsed());
+}
+
 #[test]
 fn a_partial_request_is_served_in_standby() {
     let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
