Bound the waits of two new tests, and format chunks in one place

Found on reading the whole change once more.

No assertion or bound changes, and nothing in src does.

--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -206,10 +206,10 @@
         ScriptedEndpoint::new(|_, request| Reply::Send(response(200, "", &request.body.len().to_string())));
     let node = Node::start(&[ready_endpoint("a", &upstream)]);
     let mut client = node.client();
-    let head = String::from_utf8(request_head("POST", "/order/1", "Transfer-Encoding: chunked\r\n")).unwrap();
-    client.send(head.replace("Req-Deadline: 14.0", "Req-Deadline: 0.5").as_bytes());
+    let get = request("GET", "/order/1", "0.5", "Transfer-Encoding: chunked\r\n", "");
+    client.send(String::from_utf8(get).unwrap().replacen("GET", "POST", 1).as_bytes());
     for _ in 0..PIECES {
-        client.send(format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)).as_bytes());
+        client.send(&chunk(&[b'x'; PIECE_BYTES]));
         thread::sleep(PIECE_INTERVAL);
     }
     client.send(b"0\r\n\r\n");
--- a/tests/node/streamed_responses.rs
+++ b/tests/node/streamed_responses.rs
@@ -39,11 +39,6 @@
     })
 }
 
-/// Returns a chunk with this content.
-fn chunk(content: &[u8]) -> Vec<u8> {
-    [format!("{:x}\r\n", content.len()).as_bytes(), content, b"\r\n"].concat()
-}
-
 /// Returns the head of a chunked response and its body in chunks of [`PIECE_BYTES`], without the last chunk.
 fn chunked_pieces(body: &[u8]) -> Vec<Vec<u8>> {
     let chunks = body.chunks(PIECE_BYTES).map(chunk);
--- a/tests/support/bodies.rs
+++ b/tests/support/bodies.rs
@@ -6,6 +6,11 @@
     std::iter::repeat_with(|| random.u8(..)).take(length).collect()
 }
 
+/// Returns a chunk of a chunked body with this content.
+pub fn chunk(content: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", content.len()).as_bytes(), content, b"\r\n"].concat()
+}
+
 /// Returns a 200 response with these header lines and this body.
 pub fn ok_with_body(headers: &str, body: &[u8]) -> Vec<u8> {
     let head = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
--- a/tests/unit/downstream.rs
+++ b/tests/unit/downstream.rs
@@ -3,11 +3,12 @@
 use std::io::{Read, Write};
 use std::net::TcpStream as BlockingStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{LocalSet, spawn_local, yield_now};
+use tokio::time::timeout;
 
 use super::DownstreamServer;
 use super::connection::Connection;
@@ -22,6 +23,8 @@
 const FIRST_PART_BYTES: usize = 9;
 /// Maximum time in which a connection that was asked to close has to be removed from the table.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for other expected events. It is long enough that only a failing test reaches it.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A request that the node forwards to an endpoint.
 const VIEW_REQUEST: &[u8] = b"GET /view/1 HTTP/1.1\r\nHost: n\r\nReq-Id: 1\r\nReq-Deadline: 0.9\r\n\r\n";
@@ -122,10 +125,17 @@
         let server = new_server();
         let (mut client, connection) = open_connection(&server).await;
         client.write_all(b"\r\n").unwrap();
-        while !connection.observer().has_unread_data() {}
-        while connection.observer().has_unread_data() {
-            yield_now().await;
+        // The connection's task does not run meanwhile, so the line stays unread.
+        let sent_at = Instant::now();
+        while !connection.observer().has_unread_data() {
+            assert!(sent_at.elapsed() < EVENT_TIMEOUT, "the line does not arrive");
         }
+        let line_read = async {
+            while connection.observer().has_unread_data() {
+                yield_now().await;
+            }
+        };
+        timeout(EVENT_TIMEOUT, line_read).await.expect("the line is not read");
         server.connections().close(&connection);
         server.connections().wait_for_removal(CLOSE_TIMEOUT).await;
         assert!(server.connections().is_empty());
@@ -145,7 +155,8 @@
         delay_connection_tasks();
         server.connections().close(&connection);
         client.write_all(VIEW_REQUEST).unwrap();
-        let Some(EngineEvent::RequestArrived { answer_sender, .. }) = events.recv().await else {
+        let event = timeout(EVENT_TIMEOUT, events.recv()).await;
+        let Ok(Some(EngineEvent::RequestArrived { answer_sender, .. })) = event else {
             panic!("the request has not arrived")
         };
         // The connection's task learns of the close before the request is answered.
@@ -153,7 +164,8 @@
         let _ = answer_sender.send(FinalAnswer::Rejected { retry_after: None });
         drop(connection);
         client.set_nonblocking(true).unwrap();
-        read_first_bytes(TcpStream::from_std(client).unwrap()).await
+        let response = read_first_bytes(TcpStream::from_std(client).unwrap());
+        timeout(EVENT_TIMEOUT, response).await.expect("neither a response nor a close")
     });
     assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
 }
