--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -3,7 +3,9 @@
 #[path = "../common-2.rs"]
 mod common;
 
+use std::fs;
 use std::net::TcpListener;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
@@ -14,6 +16,8 @@
 const HOLD_UP: f64 = 0.12;
 /// The grace of the rule on drains, the tolerance of time limits, and that of a node that is held up.
 const GRACE: f64 = 2.0 + 0.05 + 0.15;
+/// By how much the beginning of the hold-up moves from one replacement to the next, in microseconds.
+const DELAY_STEP: i32 = 20;
 /// How often the process is replaced.
 const ROUNDS: usize = 20;
 /// The map server that is taken out.
@@ -48,11 +52,15 @@
     let load = Load::start(old.port);
     sleep(1.0);
 
+    let mut delay = 0;
     for round in 1..=ROUNDS {
         options.operator = Some(free_port());
+        let before = state_file(&options.folder);
         let mut new = Node::start(&format!("process {}", round + 1), &options);
-        let held = replace(round, &old, &mut new, &arrivals)?;
-        if !held {
+        hold_up(&mut new, delay)?;
+        // A process that has written the file already was held up too late, another one perhaps too early.
+        delay += if state_file(&options.folder) == before { DELAY_STEP } else { -DELAY_STEP };
+        if !replace(&old, &mut new, &arrivals)? {
             load.stop();
             return Ok(false);
         }
@@ -66,21 +74,32 @@
     Ok(true)
 }
 
-/// Replaces the process `old`, which ends, by `new`, which has just been started. Meanwhile an operator takes a
-/// map server out. Returns whether the node kept from sending it requests. The moment of the hold-up differs a
-/// little from round to round, since machines differ.
-fn replace(round: usize, old: &Node, new: &mut Node, arrivals: &Arrivals) -> Result<bool, String> {
-    new.read_log_until("serves the admin API on", round % 3 != 2)?;
-    if round % 3 == 0 {
-        let started = now();
-        while now() < started + 0.000_03 {
-            std::hint::spin_loop();
-        }
+/// Returns what the processes of the node have written into their `$TMPDIR`. Only the moment of the next hold-up
+/// depends on it.
+fn state_file(folder: &Path) -> Vec<u8> {
+    let files = fs::read_dir(folder).into_iter().flatten().filter_map(Result::ok).map(|entry| entry.path());
+    let state = files.filter(|path| path.extension().is_some_and(|extension| extension == "json")).min();
+    state.and_then(|path| fs::read(path).ok()).unwrap_or_default()
+}
+
+/// Holds the new process up when its second address is open, as the log says. The hold-up begins this many
+/// microseconds after the end of that line, or at its text if the number is negative.
+fn hold_up(new: &mut Node, delay: i32) -> Result<(), String> {
+    new.read_log_until("serves the admin API on", delay >= 0)?;
+    let started = now();
+    while now() < started + f64::from(delay) * 1e-6 {
+        std::hint::spin_loop();
     }
     if has_trouble() {
         signal(new.pid(), STOP);
-        record("the new process is held up");
+        record(format!("the new process is held up, delay {delay} us"));
     }
+    Ok(())
+}
+
+/// Replaces the process `old`, which ends, by `new`, which has just been started and is held up. Meanwhile an
+/// operator takes a map server out. Returns whether the node kept from sending it requests.
+fn replace(old: &Node, new: &mut Node, arrivals: &Arrivals) -> Result<bool, String> {
     let held_since = now();
     new.follow_log();
     let called = thread::scope(|scope| {
