Apply every state of the operators that a process reads from the state file

Cause: StateStore::update reads the file before it changes it, and dropped what it had read. HotRestart::register counts the start with such an update, some time after the store was opened. The order then was the known state, the file was the process's own, so no poll reported a change and AdminService::reconcile was not called. Evidence: /status (known state) has the order and requests (applied state) don't follow it; with the lock held from outside, the order always lies between the two reads and is always lost.

Change: the store calls a StateObserver in the only function that changes the known state. No read returns anything that could be dropped. An update whose own write fails had the same fault and is mended with it.

The test "refresh reports a change once" is now "refresh applies a change once": refresh returns nothing, so the test records what is applied, and fails as well if any state between two applied ones was left out.

--- a/src/node/admin/mod.rs
+++ b/src/node/admin/mod.rs
@@ -2,12 +2,14 @@
 //! responds regardless of the load from clients.
 //!
 //! The listener accepts connections, reads a command from each, has the service execute it, and writes the
-//! response.
+//! response. The state applier applies the resulting state, and that of commands to another process.
 
 mod commands;
 mod listener;
 mod responses;
 mod service;
+mod state_applier;
 
 pub use listener::listen;
 pub use service::AdminService;
+pub use state_applier::StateApplier;
--- a/src/node/admin/service.rs
+++ b/src/node/admin/service.rs
@@ -1,6 +1,5 @@
-//! Executes commands of operators, and applies those that another process of the node has received.
+//! Executes commands of operators.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -20,36 +19,17 @@
 /// [`crate::state_store::POLL_INTERVAL`], and 20 ms for processing.
 const PROPAGATION_DELAY: Duration = Duration::from_millis(120);
 
-/// Executes the commands of operators, and applies the resulting state to this process.
+/// Executes the commands of operators.
 pub struct AdminService {
     store: Rc<StateStore>,
-    /// The state that was last applied to the lifecycle and the engine.
-    applied: RefCell<AdminState>,
     lifecycle: Rc<Lifecycle>,
     engine: EngineHandle,
 }
 
 impl AdminService {
-    /// Creates a service for the state in `store`, and applies this state.
+    /// Creates a service that changes the state in `store`, which applies it.
     pub fn new(store: Rc<StateStore>, lifecycle: Rc<Lifecycle>, engine: EngineHandle) -> AdminService {
-        let service = AdminService { store, applied: RefCell::default(), lifecycle, engine };
-        service.reconcile();
-        service
-    }
-
-    /// Applies the state that was last read or written to the lifecycle and the engine.
-    pub fn reconcile(&self) {
-        let state = self.store.state();
-        let applied = self.applied.replace(state.clone());
-        self.lifecycle.set_standby(state.standby);
-        for (uid, exited_at) in &state.exited_at {
-            if applied.exited_at.get(uid) != Some(exited_at) {
-                self.engine.exit_maintenance(endpoint_id(uid), Timestamp::from_micros(*exited_at));
-            }
-        }
-        for uid in &state.maintenance {
-            self.engine.enter_maintenance(endpoint_id(uid));
-        }
+        AdminService { store, lifecycle, engine }
     }
 
     /// Executes a command. If it changes the state, returns once all processes have had time to apply it.
@@ -76,7 +56,6 @@
             log!("admin command not executed, standby and maintenance are unchanged: {}", ErrorChain(&error));
             return Err(CommandError::StateNotWritten(error));
         }
-        self.reconcile();
         sleep(PROPAGATION_DELAY).await;
         Ok(())
     }
--- a/src/node/lifecycle/hot_restart.rs
+++ b/src/node/lifecycle/hot_restart.rs
@@ -78,15 +78,12 @@
         }
     }
 
-    /// Polls the state file for as long as the process runs, and calls `on_state_change` whenever another
-    /// process has changed it.
-    pub async fn run(mut self, on_state_change: impl Fn()) {
+    /// Polls the state file for as long as the process runs.
+    pub async fn run(mut self) {
         loop {
             self.step(Instant::now());
             sleep(POLL_INTERVAL).await;
-            if self.store.refresh() {
-                on_state_change();
-            }
+            self.store.refresh();
         }
     }
 
--- a/src/node/startup/mod.rs
+++ b/src/node/startup/mod.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use self::listeners::{Listeners, local_address};
-use crate::admin::{self, AdminService};
+use crate::admin::{self, AdminService, StateApplier};
 use crate::body::BufferBudget;
 use crate::config::Config;
 use crate::discovery;
@@ -119,16 +119,15 @@
     /// Starts the admin API, and the tasks that depend on the state that it writes.
     fn start_admin(&self, listener: TcpListener) -> Result<(), StartError> {
         log!("{} serves the admin API on {}", self.config.name, local_address("operator", &listener)?);
-        let store = Rc::new(StateStore::open(&std::env::temp_dir(), &self.config.name));
+        let applier = StateApplier::new(self.lifecycle.clone(), self.engine.clone());
+        let store = Rc::new(StateStore::open(&std::env::temp_dir(), &self.config.name, applier));
         if self.shares_listener {
             self.lifecycle.require_descriptors();
         }
         let service = Rc::new(AdminService::new(store.clone(), self.lifecycle.clone(), self.engine.clone()));
         let (lifecycle, connections) = (self.lifecycle.clone(), self.downstream.clone());
-        let reconciler = service.clone();
         spawn_local(async move {
-            let hot_restart = HotRestart::register(store, lifecycle, connections).await;
-            hot_restart.run(move || reconciler.reconcile()).await;
+            HotRestart::register(store, lifecycle, connections).await.run().await;
         });
         let downstream = self.downstream.clone();
         spawn_local(async move { downstream.run_standby_drain().await });
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -55,23 +55,35 @@
     }
 }
 
+/// Applies the state of the node to this process.
+pub trait StateObserver {
+    /// Called whenever the state that this process knows has changed, before the read or the update that
+    /// changed it returns.
+    fn on_state_change(&self, previous: &AdminState, current: &AdminState);
+}
+
 /// The state file of a node, and the state that was last read from it or written to it.
+///
+/// Whoever reads the file, the observer learns of what was read: no state is known without being applied.
 pub struct StateStore {
     path: PathBuf,
     state: RefCell<AdminState>,
+    observer: Box<dyn StateObserver>,
     /// The version of the file that was last read, even if it could not be decoded.
     last_read: Cell<Option<FileVersion>>,
 }
 
 impl StateStore {
-    /// Opens the state file of the node `name` in `folder`. If the file does not exist, or cannot be read or
-    /// decoded, the state is the default one.
-    pub fn open(folder: &Path, name: &str) -> StateStore {
+    /// Opens the state file of the node `name` in `folder`, and reads it. If the file does not exist, or
+    /// cannot be read or decoded, the state is the default one. `observer` is called with every change,
+    /// beginning with that from the default state to what is read here.
+    pub fn open(folder: &Path, name: &str, observer: impl StateObserver + 'static) -> StateStore {
         let replace_special_char = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let file_name: String = name.chars().map(replace_special_char).collect();
         let store = StateStore {
             path: folder.join(format!("{FILE_PREFIX}-{file_name}.json")),
             state: RefCell::default(),
+            observer: Box::new(observer),
             last_read: Cell::new(None),
         };
         store.refresh();
@@ -83,25 +95,30 @@
         self.state.borrow().clone()
     }
 
-    /// Reads the file if it was written since the last read, and returns whether the state has changed. A
-    /// file that cannot be read or decoded is logged once and leaves the state unchanged. Without a known
-    /// state, it is the default one. The file is read again when it is written.
-    pub fn refresh(&self) -> bool {
+    /// Reads the file if it was written since the last read. A file that cannot be read or decoded is logged
+    /// once and leaves the state unchanged. Without a known state, it is the default one. The file is read
+    /// again when it is written.
+    pub fn refresh(&self) {
         // If the file is missing, the last state stays valid: the file existed before, and may reappear.
-        let Ok(version) = FileVersion::of(&self.path) else { return false };
+        let Ok(version) = FileVersion::of(&self.path) else { return };
         if self.last_read.replace(Some(version)) == Some(version) {
-            return false;
+            return;
         }
         match self.load() {
-            Ok(state) => self.state.replace(state.clone()) != state,
-            Err(error) => {
-                log!(
-                    "cannot use state file {}, keeping the last known standby and maintenance state: {}",
-                    self.path.display(),
-                    ErrorChain(&error)
-                );
-                false
-            }
+            Ok(state) => self.set_state(state),
+            Err(error) => log!(
+                "cannot use state file {}, keeping the last known standby and maintenance state: {}",
+                self.path.display(),
+                ErrorChain(&error)
+            ),
+        }
+    }
+
+    /// Replaces the known state, and has the observer apply it. Nothing else changes the known state.
+    fn set_state(&self, state: AdminState) {
+        let previous = self.state.replace(state.clone());
+        if previous != state {
+            self.observer.on_state_change(&previous, &state);
         }
     }
 
@@ -109,7 +126,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the file cannot be locked within 400 ms or cannot be written. The state is unchanged in that
+    /// Fails if the file cannot be locked within 400 ms or cannot be written. `change` has no effect in that
     /// case.
     pub async fn update(&self, change: impl FnOnce(&mut AdminState)) -> Result<(), StateError> {
         let _lock = self.lock().await?;
@@ -119,7 +136,7 @@
         let mut state = self.state();
         change(&mut state);
         self.write(&state)?;
-        *self.state.borrow_mut() = state;
+        self.set_state(state);
         Ok(())
     }
 
--- a/tests/node/hot_restart.rs
+++ b/tests/node/hot_restart.rs
@@ -128,6 +128,34 @@
     assert_eq!(newer.admin_status()["maintenance"], json!(["b"]));
 }
 
+/// Guards against orders that a starting process lists in its status and never applies: they are written
+/// between its first read of the state file and the update that counts its start.
+#[test]
+fn a_starting_process_applies_orders_that_are_written_while_it_waits_for_the_lock() {
+    let (one, two) = (ScriptedEndpoint::new(|_, _| ok("one")), ScriptedEndpoint::new(|_, _| ok("two")));
+    let targets = [ready_endpoint("a", &one), ready_endpoint("b", &two)];
+    let (listener, state_dir) = (TcpListener::bind("127.0.0.1:0").unwrap(), state_dir());
+    let lock = fs::File::create(state_dir.join("dunelink-n0.lock")).unwrap();
+    lock.lock().unwrap();
+    let node = Node::with_inherited_listener(&targets, &listener, &state_dir);
+    // The admin API responds once the file was read for the first time. There was none.
+    assert_eq!(node.admin_status()["maintenance"], json!([]));
+    let orders = json!({"starts": 1, "standby": true, "maintenance": ["a"], "returned": {}});
+    let text = json!({"version": 1, "orders": orders}).to_string();
+    fs::write(state_dir.join("dunelink-n0.next"), text).unwrap();
+    fs::rename(state_dir.join("dunelink-n0.next"), state_dir.join("dunelink-n0.json")).unwrap();
+    drop(lock);
+    wait_until("the start is counted", || {
+        let state: Value =
+            serde_json::from_slice(&fs::read(state_dir.join("dunelink-n0.json")).unwrap()).unwrap();
+        state["orders"]["starts"] == 2
+    });
+    wait_until("the process can serve", || node.admin_status()["able"] == true);
+    assert_eq!(node.admin_status(), json!({"phase": "standby", "able": true, "maintenance": ["a"]}));
+    let bodies: Vec<_> = (0..20).map(|_| node.client().exchange(&view_request()).body).collect();
+    assert!(bodies.iter().all(|body| body == b"two"), "a map server in maintenance got requests");
+}
+
 #[test]
 fn exits_with_an_error_on_an_invalid_inherited_socket() {
     let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
--- a/tests/unit/hot_restart.rs
+++ b/tests/unit/hot_restart.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 
 use super::*;
+use crate::state_store::{AdminState, StateObserver};
 use crate::unit_support::{TempFolder, upstream_pool};
 
 /// Stand-in for the connections. The test sets whether they exceed their limit.
@@ -23,12 +24,19 @@
     async fn drain(&self) {}
 }
 
+/// Observer of processes to which no state has to be applied.
+struct IgnoreState;
+
+impl StateObserver for IgnoreState {
+    fn on_state_change(&self, _: &AdminState, _: &AdminState) {}
+}
+
 /// Registers processes of one node with its state file in `folder`, one after the other.
 fn register_processes<const N: usize>(folder: &TempFolder) -> [HotRestart<FakeConnections>; N] {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let register = |()| {
         let lifecycle = Rc::new(Lifecycle::new(upstream_pool()));
-        let store = Rc::new(StateStore::open(&folder.0, "n0"));
+        let store = Rc::new(StateStore::open(&folder.0, "n0", IgnoreState));
         runtime.block_on(HotRestart::register(store, lifecycle, Rc::default()))
     };
     [(); N].map(register)
--- a/tests/unit/state_store.rs
+++ b/tests/unit/state_store.rs
@@ -1,3 +1,5 @@
+use std::rc::Rc;
+
 use mothspool::Timestamp;
 
 use super::*;
@@ -11,12 +13,42 @@
     runtime.block_on(store.update(change))
 }
 
+/// Records the states that a store has applied, and checks that none was left out between two of them.
+#[derive(Clone, Default)]
+struct Applied {
+    states: Rc<RefCell<Vec<AdminState>>>,
+    last: Rc<RefCell<AdminState>>,
+}
+
+impl Applied {
+    /// Returns the uids in maintenance in each state that was applied since the last call.
+    fn take_maintenance(&self) -> Vec<Vec<String>> {
+        self.states.take().into_iter().map(|state| state.maintenance.into_iter().collect()).collect()
+    }
+}
+
+impl StateObserver for Applied {
+    fn on_state_change(&self, previous: &AdminState, current: &AdminState) {
+        assert_ne!(previous, current);
+        let last_applied = self.last.replace(current.clone());
+        assert_eq!(*previous, last_applied, "a state was known and not applied");
+        self.states.borrow_mut().push(current.clone());
+    }
+}
+
+/// Opens the store of the node `n0`, and returns it with the states that it applies.
+fn open(folder: &TempFolder) -> (StateStore, Applied) {
+    let applied = Applied::default();
+    (StateStore::open(&folder.0, "n0", applied.clone()), applied)
+}
+
 #[test]
 fn keeps_the_stored_format() {
     let folder = TempFolder::new();
     fs::write(folder.0.join("dunelink-n0.json"), STATE_FILE).unwrap();
-    let store = StateStore::open(&folder.0, "n0");
+    let (store, applied) = open(&folder);
     let state = store.state();
+    assert_eq!(*applied.states.borrow(), std::slice::from_ref(&state));
     assert_eq!((state.process_starts, state.standby), (3, true));
     assert!(state.maintenance.iter().eq(["s-0a1aeea2", "s-5be2a07c"]));
     assert!(state.exited_at.iter().eq([(&"s-77".to_string(), &1_764_680_000_000_000)]));
@@ -32,29 +64,57 @@
 #[test]
 fn derives_the_file_name_from_the_node_name() {
     let folder = TempFolder::new();
-    update(&StateStore::open(&folder.0, "n-0/../x y"), |_| {}).unwrap();
+    update(&StateStore::open(&folder.0, "n-0/../x y", Applied::default()), |_| {}).unwrap();
     assert_eq!(folder.file_names(), ["dunelink-n-0____x_y.json", "dunelink-n-0____x_y.lock"]);
     let empty = r#"{"version":1,"orders":{"starts":0,"standby":false,"maintenance":[],"returned":{}}}"#;
     assert_eq!(folder.read("dunelink-n-0____x_y.json"), empty);
 }
 
 #[test]
-fn refresh_reports_a_change_by_another_process_once() {
+fn refresh_applies_a_change_by_another_process_once() {
     let folder = TempFolder::new();
-    let stores = [0, 1].map(|_| StateStore::open(&folder.0, "n0"));
-    update(&stores[0], |state| state.enter_maintenance("a".into())).unwrap();
-    assert!(stores[1].refresh() && !stores[1].refresh());
-    assert_eq!(stores[1].state(), stores[0].state());
-    assert!(!stores[0].refresh(), "its own write is not reported");
+    let [(store, applied), (other_store, other_applied)] = [0, 1].map(|_| open(&folder));
+    update(&store, |state| state.enter_maintenance("a".into())).unwrap();
+    assert_eq!(applied.take_maintenance(), [["a"]], "its own update is applied");
+    other_store.refresh();
+    other_store.refresh();
+    assert_eq!(other_applied.take_maintenance(), [["a"]]);
+    assert_eq!(other_store.state(), store.state());
+    store.refresh();
+    assert!(applied.take_maintenance().is_empty(), "its own write is not applied again");
     fs::remove_file(folder.0.join("dunelink-n0.json")).unwrap();
-    assert!(!stores[1].refresh());
-    assert!(stores[1].state().maintenance.contains("a"), "the last state stays valid without a file");
+    other_store.refresh();
+    assert!(other_applied.take_maintenance().is_empty());
+    assert!(other_store.state().maintenance.contains("a"), "the last state stays valid without a file");
+}
+
+/// Guards against an order that is listed in the status of a process and never applied: an update read it
+/// from the file and dropped it.
+#[test]
+fn an_update_applies_what_another_process_has_written_before() {
+    let folder = TempFolder::new();
+    let [(store, _), (other_store, other_applied)] = [0, 1].map(|_| open(&folder));
+    update(&store, |state| state.enter_maintenance("a".into())).unwrap();
+    update(&other_store, |state| state.process_starts += 1).unwrap();
+    assert_eq!(other_applied.take_maintenance()[0], ["a"]);
+}
+
+/// Guards against the same loss when the update that has read the order cannot write the file.
+#[test]
+fn a_failed_update_applies_what_another_process_has_written_before() {
+    let folder = TempFolder::new();
+    let [(store, _), (other_store, other_applied)] = [0, 1].map(|_| open(&folder));
+    update(&store, |state| state.enter_maintenance("a".into())).unwrap();
+    fs::create_dir(folder.0.join("dunelink-n0.new")).unwrap();
+    update(&other_store, |state| state.standby = true).unwrap_err();
+    assert_eq!(other_applied.take_maintenance(), [["a"]]);
+    assert!(!other_store.state().standby);
 }
 
 #[test]
 fn a_failed_update_reports_its_cause_and_changes_nothing() {
     let folder = TempFolder::new();
-    let store = StateStore::open(&folder.0, "n0");
+    let (store, applied) = open(&folder);
     let lock = File::create(folder.0.join("dunelink-n0.lock")).unwrap();
     lock.lock().unwrap();
     let error = update(&store, |state| state.standby = true).unwrap_err();
@@ -68,7 +128,7 @@
     fs::remove_dir_all(&folder.0).unwrap();
     let error = update(&store, |state| state.standby = true).unwrap_err();
     assert!(matches!(error, StateError::Lock { .. }), "{error}");
-    assert!(!store.state().standby);
+    assert!(!store.state().standby && applied.states.borrow().is_empty());
 }
 
 #[test]
