Count the time of a large request from when its last byte reached the machine

Cause: a streamed body is read as fast as an endpoint takes it. The time at which the node read the last byte was taken for the time at which it was received, so the wait in the queue and the time in which the endpoint reads were given to the request a second time; the balancer drops its own deadline once a body is forwarded.

Change: a ReceptionClock checks every 25 ms whether the client owes data: the node waits for more and the kernel has none, in two checks in a row, or more than 8 MiB of a stated length are unread. Otherwise the unread bytes may be the last ones and the time counts from when they began to wait: for the deadline told, for attempts that have the whole request, and for those that still forward it. Endpoints' response times still count from the last byte passed on.

A third test holds before and after: a client that still sends has its whole time.

--- a/src/node/body/mod.rs
+++ b/src/node/body/mod.rs
@@ -4,8 +4,8 @@
 //!
 //! [`budget`] manages the memory, [`incoming`] counts the bytes that hyper receives and limits their number.
 //! [`request`] reads request bodies, for which [`pacing`] enforces a minimum rate, and [`outbound`] sends
-//! them. [`response`] reads and sends response bodies; [`early_streaming`] decides when one of unknown length
-//! is streamed before it is known to be large.
+//! them. [`reception`] estimates when their last byte was received. [`response`] reads and sends response
+//! bodies; [`early_streaming`] decides when one of unknown length is streamed before it is known to be large.
 
 mod budget;
 mod early_streaming;
@@ -13,6 +13,7 @@
 mod incoming;
 mod outbound;
 mod pacing;
+mod reception;
 mod request;
 mod response;
 
@@ -20,7 +21,7 @@
 pub use early_streaming::EarlyStreaming;
 pub use error::BodyError;
 pub use outbound::OutboundBody;
-pub use request::{RequestBody, UploadProgress};
+pub use request::{CompleteUpload, RequestBody, UploadProgress};
 pub use response::{
     ResponseBody, ResponsePrefix, SMALL_RESPONSE_STALL_TIMEOUT, StreamingResponseBody, TransferEnd,
 };
--- a/src/node/body/pacing.rs
+++ b/src/node/body/pacing.rs
@@ -55,6 +55,11 @@
         self.unpolled_since.map_or(Duration::ZERO, |since| since.elapsed())
     }
 
+    /// Returns whether the last poll found no data, so that whoever reads the body waits for the client.
+    pub fn awaits_data(&self) -> bool {
+        self.unpolled_since.is_none()
+    }
+
     /// Suspends the deadline until the next poll.
     pub fn pause(&mut self) {
         self.unpolled_since = Some(Instant::now());
--- a/src/node/body/request.rs
+++ b/src/node/body/request.rs
@@ -1,6 +1,7 @@
 //! Request bodies: buffered, or streamed to the one endpoint that they are forwarded to.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -8,14 +9,22 @@
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::body::budget::{BodyBuffer, BufferBudget, BufferReservation, BufferedPrefix};
 use crate::body::error::BodyError;
 use crate::body::incoming::IncomingBody;
 use crate::body::pacing::PacedBody;
+use crate::body::reception::ReceptionClock;
 use crate::net::SocketObserver;
 
+/// Interval of the checks whether a client owes some of its body. It is longer than the time that data takes
+/// from one data center to the other and back.
+const RECEPTION_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Maximum number of bytes that a client has sent and the node has not read: the kernel's buffers on both
+/// machines hold 10 MiB by default on Linux, their bookkeeping included.
+const MAX_IN_FLIGHT_BYTES: u64 = 8 << 20;
+
 /// Progress of a streamed request body.
 #[derive(Clone, Copy)]
 pub enum UploadProgress {
@@ -23,12 +32,22 @@
     NotStarted,
     /// An attempt is forwarding the body. What it has forwarded is no longer in memory.
     Forwarding,
-    /// The last byte of the body was received at this time.
-    Complete(Instant),
+    /// The whole body was received and passed on.
+    Complete(CompleteUpload),
     /// The body could not be received from the client.
     Failed(BodyError),
 }
 
+/// The times at which a streamed request body became complete.
+#[derive(Clone, Copy)]
+pub struct CompleteUpload {
+    /// The latest time at which the node's machine can have received the last byte, or an earlier time if
+    /// that byte was not read at once.
+    pub received_at: Instant,
+    /// When the last byte was passed on to the endpoint.
+    pub forwarded_at: Instant,
+}
+
 type ProgressListener = Box<dyn Fn(UploadProgress)>;
 
 /// A request body that is streamed.
@@ -41,6 +60,7 @@
     progress: watch::Sender<UploadProgress>,
     listener: RefCell<Option<ProgressListener>>,
     observer: Rc<SocketObserver>,
+    reception: ReceptionClock,
 }
 
 impl StreamingRequestBody {
@@ -67,6 +87,33 @@
         }
     }
 
+    /// Returns since when the node's machine may have received all of the body, or `None` if the client owes
+    /// some of it.
+    pub fn may_be_whole_since(&self) -> Option<Instant> {
+        match self.progress() {
+            UploadProgress::Complete(upload) => Some(upload.received_at),
+            UploadProgress::NotStarted | UploadProgress::Forwarding | UploadProgress::Failed(_) => {
+                self.reception.whole_since()
+            }
+        }
+    }
+
+    /// Tracks when the last byte is received, until the future is dropped.
+    pub async fn track_reception(&self) -> Infallible {
+        loop {
+            sleep(RECEPTION_CHECK_INTERVAL).await;
+            self.reception.check(self.client_owes_data(), Instant::now());
+        }
+    }
+
+    /// Returns whether the client has certainly not sent the last byte yet.
+    fn client_owes_data(&self) -> bool {
+        let rest = self.rest.borrow();
+        let unread = self.length.map(|length| length.saturating_sub(rest.received()));
+        unread.is_some_and(|unread| unread > MAX_IN_FLIGHT_BYTES)
+            || rest.awaits_data() && !self.observer.has_unread_data()
+    }
+
     /// Returns for how long no attempt has polled for more of the body.
     pub fn unpolled_for(&self) -> Duration {
         self.rest.borrow().unpolled_for()
@@ -114,7 +161,9 @@
                 return Poll::Ready(Err(BodyError::ClientDisconnected));
             }
             self.observer.request_completed(self.length.map(|_| rest.received()));
-            self.advance(UploadProgress::Complete(Instant::now()));
+            let forwarded_at = Instant::now();
+            let received_at = self.reception.whole_since().unwrap_or(forwarded_at);
+            self.advance(UploadProgress::Complete(CompleteUpload { received_at, forwarded_at }));
         }
         Poll::Ready(Ok(data))
     }
@@ -169,6 +218,7 @@
             progress: watch::Sender::new(UploadProgress::NotStarted),
             listener: RefCell::new(None),
             observer: observer.clone(),
+            reception: ReceptionClock::new(Instant::now()),
         })))
     }
 
--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -1,5 +1,6 @@
 //! Hands a request to the engine and waits for the final answer.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
@@ -59,7 +60,8 @@
     let answer = tokio::select! {
         biased;
         answer = answer => answer,
-        error = wait_for_upload_failure(body) => return Err(error.into()),
+        error = wait_for_upload_failure(&body) => return Err(error.into()),
+        never = track_reception(&body) => match never {},
         () = observer.closed() => return Err(RequestError::ClientDisconnected),
         () = lifecycle.wait_for_shutdown_deadline() => {
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
@@ -70,13 +72,21 @@
 }
 
 /// Waits until the client fails to send its body. Never returns if the body is buffered or arrives in full.
-async fn wait_for_upload_failure(body: RequestBody) -> BodyError {
+async fn wait_for_upload_failure(body: &RequestBody) -> BodyError {
     match body {
         RequestBody::Streamed(stream) => stream.failed().await,
         RequestBody::Buffered { .. } => std::future::pending().await,
     }
 }
 
+/// Tracks when the last byte of a streamed body is received.
+async fn track_reception(body: &RequestBody) -> Infallible {
+    match body {
+        RequestBody::Streamed(stream) => stream.track_reception().await,
+        RequestBody::Buffered { .. } => std::future::pending().await,
+    }
+}
+
 /// Converts a final answer of the engine into a response.
 fn response_to(answer: FinalAnswer) -> Response<ResponseBody> {
     match answer {
--- a/src/node/engine/attempts.rs
+++ b/src/node/engine/attempts.rs
@@ -39,17 +39,17 @@
     pub(super) fn end_attempt(&mut self, id: AttemptId, outcome: Outcome) {
         let now = self.clock.now();
         let Some(request) = self.requests.get_mut(&id.request) else { return };
-        let received = request.upstream_request.received_at();
-        let received_at = received.map_or(now, |instant| self.clock.timestamp(instant));
+        let forwarded = request.upstream_request.forwarded_at();
+        let forwarded_at = forwarded.map_or(now, |instant| self.clock.timestamp(instant));
         let request_finished = request.is_answered();
         let Some(attempt) = request.attempt_mut(id.number) else { return };
         if !attempt.end() {
             return;
         }
         // The response time of the endpoint starts when the attempt was sent or when the client's last byte
-        // was received, whichever is later. It lasts until forwarding of a streamed response starts, and
+        // was passed on, whichever is later. It lasts until forwarding of a streamed response starts, and
         // otherwise until the attempt ends.
-        let began_at = attempt.sent_at.max(received_at);
+        let began_at = attempt.sent_at.max(forwarded_at);
         let elapsed = attempt.response_started_at.unwrap_or(now).saturating_duration_since(began_at);
         request.has_timed_out |= outcome == Outcome::TimedOut;
         self.pending_events.push_back(Event::AttemptEnded(AttemptResult {
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Request};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::body::{EarlyStreaming, OutboundBody, RequestBody, UploadProgress};
+use crate::body::{CompleteUpload, EarlyStreaming, OutboundBody, RequestBody, UploadProgress};
 use crate::protocol::headers::REQ_DEADLINE;
 
 /// Interval of the check whether the endpoint still reads the body that is sent to it.
@@ -43,17 +43,39 @@
 }
 
 impl UpstreamRequest {
-    /// Returns the time at which the last byte of the request was received, or `None` if it has not been.
+    /// Returns the time at which the last byte of the request was received, from which the client's time
+    /// counts, or `None` if the last byte was not read yet.
     pub fn received_at(&self) -> Option<Instant> {
+        self.complete_upload().map(|upload| upload.received_at)
+    }
+
+    /// Returns the time from which on the whole request could be sent to an endpoint, or `None` if its last
+    /// byte was not read yet.
+    pub fn forwarded_at(&self) -> Option<Instant> {
+        self.complete_upload().map(|upload| upload.forwarded_at)
+    }
+
+    fn complete_upload(&self) -> Option<CompleteUpload> {
         match &self.body {
-            RequestBody::Buffered { .. } => Some(self.buffered_at),
+            RequestBody::Buffered { .. } => {
+                Some(CompleteUpload { received_at: self.buffered_at, forwarded_at: self.buffered_at })
+            }
             RequestBody::Streamed(stream) => match stream.progress() {
-                UploadProgress::Complete(at) => Some(at),
+                UploadProgress::Complete(upload) => Some(upload),
                 UploadProgress::NotStarted | UploadProgress::Forwarding | UploadProgress::Failed(_) => None,
             },
         }
     }
 
+    /// Returns the time from which the client's time may count: its last byte was received then or, if some
+    /// of the body was not read yet, may have been. Returns `None` if the client still owes some of its body.
+    fn may_be_received_since(&self) -> Option<Instant> {
+        match &self.body {
+            RequestBody::Buffered { .. } => Some(self.buffered_at),
+            RequestBody::Streamed(stream) => stream.may_be_whole_since(),
+        }
+    }
+
     /// Returns whether an attempt may begin now. While its connection was opened, the body may have been
     /// forwarded to another endpoint, the client may have disconnected, or `begin_by` may have passed.
     pub(super) fn may_begin(&self) -> bool {
@@ -61,14 +83,14 @@
         self.body.is_replayable() && !self.client_disconnected.get() && in_time
     }
 
-    /// Waits until the client has stopped waiting for the response, or until the endpoint has stopped reading
-    /// the body.
+    /// Waits until the client has stopped waiting for the response, or may have while the endpoint reads its
+    /// body, or until the endpoint has stopped reading the body.
     pub(super) async fn expired(&self) {
         loop {
             if let Some(received_at) = self.received_at() {
                 return sleep_until(received_at + self.timeout).await;
             }
-            if self.is_upload_stalled() {
+            if self.is_upload_overdue() || self.is_upload_stalled() {
                 return;
             }
             sleep(UPLOAD_POLL_INTERVAL).await;
@@ -92,6 +114,12 @@
         EarlyStreaming::new(began_at + time_left / 2)
     }
 
+    /// Returns whether the client may have stopped waiting, since it may have sent its last byte so long ago.
+    fn is_upload_overdue(&self) -> bool {
+        let client_time = self.timeout.max(UPLOAD_POLL_INTERVAL);
+        self.may_be_received_since().is_some_and(|since| since.elapsed() >= client_time)
+    }
+
     /// Returns whether the body is being forwarded and the endpoint has read nothing of it for as long as the
     /// client waits for the response, and for at least [`MIN_UPLOAD_STALL_TIMEOUT`].
     fn is_upload_stalled(&self) -> bool {
@@ -112,7 +140,7 @@
     /// Returns the HTTP request, with the remaining time in its deadline header, or `None` if that is not a
     /// valid header value.
     pub(super) fn to_http(&self) -> Option<Request<OutboundBody>> {
-        let elapsed = self.received_at().map_or(Duration::ZERO, |at| at.elapsed());
+        let elapsed = self.may_be_received_since().map_or(Duration::ZERO, |since| since.elapsed());
         let remaining = self.timeout.saturating_sub(elapsed).as_secs_f64();
         let deadline = HeaderValue::from_str(&format!("{remaining:.3}")).ok()?;
         let mut request = Request::new(OutboundBody::from(&self.body));
--- a/tests/node/client_disconnects.rs
+++ b/tests/node/client_disconnects.rs
@@ -25,9 +25,6 @@
     drop(client);
 }
 
-/// Concurrency limit of an endpoint at a node that has just started. Further requests are queued.
-const INITIAL_CONCURRENCY_LIMIT: usize = 2;
-
 fn bind_listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
@@ -331,8 +328,8 @@
     for kind in ALL_DISCONNECTS {
         let mut clients: Vec<Connection> = (0..100).map(|_| node.client()).collect();
         clients.iter_mut().for_each(|client| client.send(&view_request()));
-        // The clients use up nearly all of the 48 descriptors. After they have disconnected, at most half of the
-        // descriptors may be open, which is more than the node needs without clients.
+        // The clients use up nearly all of the 48 descriptors. After they have disconnected, at most half of
+        // the descriptors may be open, which is more than the node needs without clients.
         wait_until_descriptors_open(&node, 47);
         clients.into_iter().for_each(|client| disconnect(client, kind));
         wait_until_descriptors_closed(&node, 24, &format!("{kind:?}"));
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -1,5 +1,12 @@
 //! Deadlines of requests.
 
+use std::io::Read;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+use std::{slice, thread};
+
+use socket2::SockRef;
+
 use crate::support::*;
 
 #[test]
@@ -20,3 +27,113 @@
     assert_eq!(node.client().exchange(&request("GET", "/view/1", "2", "", "")).status(), 503);
     assert_eq!(node.client().exchange(&request("POST", "/order/1", "2", "", "xyz")).status(), 504);
 }
+
+/// A final answer may come this much after the client's time. Later, its request is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(550);
+/// The time that an attempt tells its endpoint may be this much longer than what is left to the client.
+const TOLD_TIME_TOLERANCE: Duration = Duration::from_millis(150);
+
+/// Returns an order with a body of `length` bytes, too long to buffer, in both framings.
+fn large_orders(deadline: Duration, length: usize) -> [Vec<u8>; 2] {
+    let body = random_bytes(length);
+    let head = |framing: &str| {
+        let deadline = deadline.as_secs_f64().to_string();
+        let text = String::from_utf8(request("GET", "/order/1", &deadline, framing, "")).unwrap();
+        text.replacen("GET", "POST", 1).into_bytes()
+    };
+    let chunks: Vec<u8> = body.chunks(20_000).flat_map(chunk).collect();
+    [
+        [head(&format!("Content-Length: {length}\r\n")), body].concat(),
+        [head("Transfer-Encoding: chunked\r\n"), chunks, b"0\r\n\r\n".to_vec()].concat(),
+    ]
+}
+
+/// Guards against large requests whose time begins anew when an endpoint takes them from the queue, as the
+/// node reads their last bytes only then.
+#[test]
+fn the_time_of_a_large_request_includes_its_wait_for_an_endpoint() {
+    const DEADLINE: Duration = Duration::from_secs(3);
+    const QUEUE_TIME: Duration = Duration::from_millis(1500);
+    for order in large_orders(DEADLINE, 100_000) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
+        let mut open_requests =
+            start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
+        let mut client = node.client();
+        client.send(&order);
+        let sent_at = Instant::now();
+        thread::sleep(QUEUE_TIME);
+        open_requests.iter_mut().for_each(|request| request.complete("Connection: close\r\n", "done"));
+        let (_endpoint, message) = accept_request(&listener);
+        let told = Duration::from_secs_f64(message.header("req-deadline").unwrap().parse().unwrap());
+        assert!(told <= DEADLINE - QUEUE_TIME + TOLD_TIME_TOLERANCE, "the endpoint is told {told:?}");
+        assert_eq!(client.receive().status(), 504);
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed <= DEADLINE + MAX_LATENESS, "the answer comes after {elapsed:?}");
+    }
+}
+
+/// Guards against final answers that come only when an endpoint has read a large request slowly to its end.
+#[test]
+fn the_time_of_a_large_request_includes_the_time_in_which_its_endpoint_reads_it() {
+    const DEADLINE: Duration = Duration::from_secs(2);
+    const PIECE_BYTES: usize = 64 << 10;
+    const PIECE_INTERVAL: Duration = Duration::from_millis(32);
+    for order in large_orders(DEADLINE, 9_000_000) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // With this, the kernel holds little of the body between the node and the endpoint.
+        SockRef::from(&listener).set_recv_buffer_size(PIECE_BYTES).unwrap();
+        let address = listener.local_addr().unwrap();
+        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
+        let mut client = node.client();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let mut endpoint = accept_connection(&listener);
+                while endpoint.read(&mut [0; PIECE_BYTES]).is_ok_and(|length| length > 0) {
+                    thread::sleep(PIECE_INTERVAL);
+                }
+            });
+            client.send(&order);
+            let sent_at = Instant::now();
+            assert_eq!(client.receive().status(), 504);
+            let elapsed = sent_at.elapsed();
+            assert!(elapsed <= DEADLINE + MAX_LATENESS, "the answer comes after {elapsed:?}");
+        });
+    }
+}
+
+/// Guards against a client's time that begins while the client still sends: the endpoint reads the request as
+/// fast as it comes, after a wait in the queue.
+#[test]
+fn the_time_of_a_large_request_does_not_begin_while_its_client_still_sends() {
+    const PIECE_BYTES: usize = 8 << 10;
+    const PIECES: usize = 25;
+    // 64,000 bytes a second.
+    const PIECE_INTERVAL: Duration = Duration::from_millis(128);
+    for order in large_orders(Duration::from_secs(2), PIECES * PIECE_BYTES) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
+        let mut open_requests =
+            start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
+        let mut client = node.client();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(1500));
+                open_requests
+                    .iter_mut()
+                    .for_each(|request| request.complete("Connection: close\r\n", "done"));
+                let (mut endpoint, message) = accept_request(&listener);
+                // The client still waits, long after the wait in the queue and its time together.
+                thread::sleep(Duration::from_millis(1500));
+                endpoint.send(&response(200, "", &message.body.len().to_string()));
+            });
+            for piece in order.chunks(PIECE_BYTES) {
+                client.send(piece);
+                thread::sleep(PIECE_INTERVAL);
+            }
+            assert_eq!(client.receive().body, (PIECES * PIECE_BYTES).to_string().as_bytes());
+        });
+    }
+}
--- a/tests/support/connections.rs
+++ b/tests/support/connections.rs
@@ -68,6 +68,9 @@
     }
 }
 
+/// Concurrency limit of an endpoint at a node that has just started. Further requests are queued.
+pub const INITIAL_CONCURRENCY_LIMIT: usize = 2;
+
 /// An open request: an endpoint has received it and has not answered it yet.
 pub struct OpenRequest {
     pub client: Connection,
