Keep the heads of waiting requests as text, not as the maps that were parsed

Cause: a request kept hyper's HeaderMap until its final answer. The map takes some 100 bytes for a field beside its text, and its values and the path keep the buffer of 8 to 32 KiB that the head was read into. The limit on connections allows 32 KB for one on such a node.

Change: the head is copied into one text when it is parsed; an attempt builds the map.

--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -15,6 +16,7 @@
 use crate::downstream::error::RequestError;
 use crate::downstream::request_ids::MAX_REQUEST_ID_BYTES;
 use crate::net::SocketObserver;
+use crate::protocol::compact_headers::CompactHeaders;
 use crate::protocol::headers::{
     IDEMPOTENCY_KEY, REQ_COST, REQ_DEADLINE, REQ_ID, REQ_OWNER, remove_hop_by_hop_headers,
 };
@@ -30,8 +32,8 @@
 /// The validated head of a request.
 pub struct RequestHead {
     method: Method,
-    uri: Uri,
-    headers: HeaderMap,
+    target: PathAndQuery,
+    headers: CompactHeaders,
     class: ClassRule,
     client_request_id: Box<str>,
     /// How long the client waits, counted from the last byte of its request.
@@ -40,14 +42,17 @@
     latency_objective: Duration,
     /// The client's estimate of the work, if the request has one.
     expected_work: Option<Duration>,
+    /// Hash of the object that the request concerns, if it names one.
+    affinity_key: Option<u64>,
     /// Index of the tenant in the settings, if the request names a known tenant.
     tenant: Option<u32>,
 }
 
 impl RequestHead {
-    /// Parses and validates a head. `has_body` states whether a body follows.
+    /// Parses and validates a head. `has_body` states whether a body follows. The result keeps nothing of the
+    /// buffer that the head was read into.
     pub fn parse(parts: Parts, has_body: bool, config: &Config) -> Result<RequestHead, RequestError> {
-        let Parts { method, uri, headers, .. } = parts;
+        let Parts { method, uri, mut headers, .. } = parts;
         let class = find_class(&uri, config).ok_or(RequestError::UnknownClass)?;
         let client_request_id = parse_request_id(&headers)?.into();
         let deadline = single_value(&headers, &REQ_DEADLINE).and_then(parse_seconds);
@@ -62,15 +67,19 @@
         let objective = config.settings.classes[class.index].objective_for(expected_work);
         let latency_objective = objective.min(timeout);
         let tenant = single_value(&headers, &REQ_OWNER).and_then(|name| config.tenants.get(name)).copied();
+        remove_hop_by_hop_headers(&mut headers);
+        headers.remove(REQ_DEADLINE);
+        headers.entry(header::HOST).or_insert(DEFAULT_HOST);
         Ok(RequestHead {
             method,
-            uri,
-            headers,
+            target: copy_target(&uri),
+            headers: CompactHeaders::from(&headers),
             class,
             client_request_id,
             timeout,
             latency_objective,
             expected_work,
+            affinity_key: affinity_key(&uri),
             tenant,
         })
     }
@@ -87,33 +96,18 @@
             class: self.class.index,
             remaining: self.timeout,
             expected_work: self.expected_work,
-            affinity_key: self.affinity_key(),
+            affinity_key: self.affinity_key,
             tenant: self.tenant,
         }
     }
 
-    /// Returns a hash of the object that the request concerns. It is named by the last part of the path, if
-    /// the path has more than the class.
-    fn affinity_key(&self) -> Option<u64> {
-        let part = self.uri.path().split('/').skip(2).last().filter(|part| !part.is_empty())?;
-        Some(xxhash_rust::xxh3::xxh3_64(part.as_bytes()))
-    }
-
     /// Converts the head into the request that is sent to endpoints. `buffered_at` is the time at which the
     /// last byte was received, if the body is buffered.
     pub fn into_upstream_request(self, body: RequestBody, buffered_at: Instant) -> UpstreamRequest {
-        let target = self.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-        let mut headers = self.headers;
-        remove_hop_by_hop_headers(&mut headers);
-        headers.remove(REQ_DEADLINE);
-        if let Some(length) = body.length().filter(|_| self.method == Method::POST) {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
-        }
-        headers.entry(header::HOST).or_insert(DEFAULT_HOST);
         UpstreamRequest {
             method: self.method,
-            target,
-            headers,
+            target: self.target,
+            headers: self.headers,
             body,
             timeout: self.timeout,
             latency_objective: self.latency_objective,
@@ -125,6 +119,21 @@
     }
 }
 
+/// Returns a copy of the path and query.
+fn copy_target(uri: &Uri) -> PathAndQuery {
+    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    // The text was parsed before, so it is valid.
+    PathAndQuery::from_maybe_shared(Bytes::copy_from_slice(target.as_bytes()))
+        .unwrap_or(PathAndQuery::from_static("/"))
+}
+
+/// Returns a hash of the object that the request concerns. It is named by the last part of the path, if the
+/// path has more than the class.
+fn affinity_key(uri: &Uri) -> Option<u64> {
+    let part = uri.path().split('/').skip(2).last().filter(|part| !part.is_empty())?;
+    Some(xxhash_rust::xxh3::xxh3_64(part.as_bytes()))
+}
+
 /// Rejects a request that may have both `Transfer-Encoding` and `Content-Length`. Recipients that follow
 /// different ones disagree about where it ends.
 pub fn check_framing(headers: &HeaderMap, observer: &SocketObserver) -> Result<(), RequestError> {
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -3,12 +3,13 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::body::{CompleteUpload, EarlyStreaming, OutboundBody, RequestBody, UploadProgress};
+use crate::protocol::compact_headers::CompactHeaders;
 use crate::protocol::headers::REQ_DEADLINE;
 
 /// Interval of the check whether the endpoint still reads the body that is sent to it.
@@ -16,14 +17,18 @@
 /// Minimum time for which the endpoint has to read nothing of the body before the attempt fails.
 const MIN_UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of headers that an attempt adds: the deadline and the length of the body.
+const HEADERS_OF_AN_ATTEMPT: usize = 2;
+
 /// A request as attempts send it to endpoints.
 pub struct UpstreamRequest {
     /// Method, as the client sent it.
     pub method: Method,
     /// Path and query, as the client sent them.
     pub target: PathAndQuery,
-    /// All headers except the deadline, which each attempt computes from the remaining time.
-    pub headers: HeaderMap,
+    /// All headers except the length of the body, and the deadline, which each attempt computes from the
+    /// remaining time.
+    pub headers: CompactHeaders,
     /// Body.
     pub body: RequestBody,
     /// How long the client waits for the response, counted from the last byte of its request.
@@ -146,8 +151,12 @@
         let mut request = Request::new(OutboundBody::from(&self.body));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone().into();
-        *request.headers_mut() = self.headers.clone();
-        request.headers_mut().insert(REQ_DEADLINE, deadline);
+        let mut headers = self.headers.to_map(HEADERS_OF_AN_ATTEMPT);
+        headers.insert(REQ_DEADLINE, deadline);
+        if let Some(length) = self.body.length().filter(|_| self.method == Method::POST) {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        *request.headers_mut() = headers;
         Some(request)
     }
 }
--- a/tests/node/memory_limits.rs
+++ b/tests/node/memory_limits.rs
@@ -69,6 +69,42 @@
     assert!(memory < MEMORY_MIB << 20, "{memory} bytes for {} uploads", clients.len());
 }
 
+/// Guards against heads of very many short fields, which took many times the memory of their text for as long
+/// as their clients did not complete the bodies.
+#[test]
+fn heads_of_many_short_fields_stay_within_the_memory_limit() {
+    const MEMORY_MIB: usize = 32;
+    const FIELDS: usize = 90;
+    let upstream = ScriptedEndpoint::new(|_, _| Reply::Never);
+    let node = Node::with_config(&[ready_endpoint("a", &upstream)], |config| {
+        config["limits"]["memory_mb"] = MEMORY_MIB.into();
+    });
+    let fields: String = (0..FIELDS).map(|number| format!("a{number}:\r\n")).collect();
+    let body = random_bytes(64_000);
+    let clients: Vec<Connection> = (0..600)
+        .map(|n| {
+            let mut client = node.client();
+            client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+            match n % 2 {
+                0 => client.send(&request_head(
+                    "POST",
+                    "/order/1",
+                    &format!("{fields}Content-Length: 65000\r\n"),
+                )),
+                _ => {
+                    let framing = format!("{fields}Transfer-Encoding: chunked\r\n");
+                    client.send(&request_head("POST", "/order/1", &framing));
+                    client.send(b"FDE8\r\n");
+                }
+            }
+            client.send(&body);
+            client
+        })
+        .collect();
+    let memory = settled_peak_memory(&node);
+    assert!(memory < MEMORY_MIB << 20, "{memory} bytes for {} heads of {FIELDS} fields", clients.len());
+}
+
 /// Waits until the peak memory of the node no longer grows, and returns it in bytes.
 fn settled_peak_memory(node: &Node) -> usize {
     let mut memory = 0;
