Notice a client's close behind more unread data than the kernel holds

Cause: while a request waits, the node reads nothing more from its connection. The FIN lies behind all bytes before it, and those did not fit into the receive buffer.

Change: behind a request that was read whole, once a quarter of the receive buffer is unread, what follows is read and discarded, at most 32 MiB. The connection closes with the answer.

The new test failed before.

--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -63,6 +63,7 @@
         error = wait_for_upload_failure(&body) => return Err(error.into()),
         never = track_reception(&body) => match never {},
         () = observer.closed() => return Err(RequestError::ClientDisconnected),
+        never = discard_excess_input(&body, observer) => match never {},
         () = lifecycle.wait_for_shutdown_deadline() => {
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
         }
@@ -87,6 +88,15 @@
     }
 }
 
+/// Discards what a client sends behind a complete request, once it may hide the client's close. What follows
+/// a streamed request is not read before the request itself.
+async fn discard_excess_input(body: &RequestBody, observer: &SocketObserver) -> Infallible {
+    if let RequestBody::Buffered { .. } = body {
+        observer.discard_excess_input().await;
+    }
+    std::future::pending().await
+}
+
 /// Converts a final answer of the engine into a response.
 fn response_to(answer: FinalAnswer) -> Response<ResponseBody> {
     match answer {
--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -120,6 +120,7 @@
         };
         let after_response = match upstream_request.received_at() {
             None => AfterResponse::LingeringClose,
+            Some(_) if observer.has_discarded_input() => AfterResponse::LingeringClose,
             // Only hyper knows at which byte the last chunk ended, so the observer could not find the head
             // of the next request.
             Some(_) if chunked => AfterResponse::Close,
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, Sleep, sleep};
 
 use super::framing::MessageFramer;
-use super::receive_queue::ReceiveQueue;
+use super::receive_queue::{ReceiveQueue, has_unread_bytes};
 
 /// Maximum time that a client that is still sending has to read the response that rejects its request, before
 /// the connection is closed. Closing a socket with unread bytes resets the connection, and the reset may
@@ -26,6 +26,12 @@
 const MAX_LINGER_BYTES: usize = 32 << 20;
 /// Size of the buffer for these reads, in bytes.
 const LINGER_BUFFER_BYTES: usize = 16 << 10;
+/// Divisor of the kernel's receive buffer. Behind more unread bytes than the quotient, a client's close may
+/// not be received: the kernel keeps half of the buffer for its bookkeeping, and more if the bytes came in
+/// small pieces.
+const UNREAD_INPUT_DIVISOR: usize = 4;
+/// Interval of the checks for so many unread bytes. No attempt may begin 100 ms after a client's close.
+const EXCESS_INPUT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Size of the kernel's send buffer that the node requests for a client's socket, in bytes. The kernel
 /// doubles it for its own bookkeeping.
 const SEND_BUFFER_BYTES: usize = 128 << 10;
@@ -36,6 +42,8 @@
     framer: RefCell<MessageFramer>,
     /// Whether the socket lingers after the last response.
     should_linger: Cell<bool>,
+    /// Whether bytes of the client were discarded, so that no further request can be read.
+    has_discarded_input: Cell<bool>,
     write_blocked_since: Cell<Option<Instant>>,
 }
 
@@ -65,6 +73,44 @@
         while self.stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {}
     }
 
+    /// Reads and discards what the client sends behind the current request, once it is so much that the
+    /// client's close might not be received behind it. Completes only if nothing more can be read.
+    ///
+    /// Until then, [`SocketObserver::closed`] would not notice the close: the kernel receives it after all
+    /// bytes before it, and does not receive more than its buffer takes.
+    pub async fn discard_excess_input(&self) {
+        let stream = self.stream.as_ref();
+        let limit = SockRef::from(stream).recv_buffer_size().unwrap_or(0) / UNREAD_INPUT_DIVISOR;
+        loop {
+            sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
+            if self.has_unread_data() && has_unread_bytes(stream, limit.max(1)) {
+                break;
+            }
+        }
+        self.has_discarded_input.set(true);
+        self.linger();
+        let mut remaining_bytes = MAX_LINGER_BYTES;
+        while remaining_bytes > 0 && stream.readable().await.is_ok() {
+            match self.discard_available_input() {
+                Ok(0) => return,
+                Ok(bytes) => remaining_bytes = remaining_bytes.saturating_sub(bytes),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Reads and discards bytes that the kernel has received, and returns their number. The buffer is on the
+    /// stack, so that a waiting request does not hold it.
+    fn discard_available_input(&self) -> io::Result<usize> {
+        self.stream.as_ref().try_read(&mut [0; LINGER_BUFFER_BYTES])
+    }
+
+    /// Returns whether bytes of the client were discarded, so that no further request can be read.
+    pub fn has_discarded_input(&self) -> bool {
+        self.has_discarded_input.get()
+    }
+
     /// Returns whether the client has closed or reset the connection, as far as the kernel knows now, and
     /// nothing that it sent before is still to be read.
     pub fn is_peer_closed(&self) -> bool {
@@ -184,6 +230,7 @@
             stream,
             framer: RefCell::new(MessageFramer::new()),
             should_linger: Cell::new(false),
+            has_discarded_input: Cell::new(false),
             write_blocked_since: Cell::new(None),
         });
         (DownstreamSocket { reader, observer: observer.clone(), lingering: None }, observer)
--- a/src/node/net/receive_queue.rs
+++ b/src/node/net/receive_queue.rs
@@ -19,6 +19,12 @@
     Failed,
 }
 
+/// Returns whether the stream's receive queue has at least this many bytes.
+pub fn has_unread_bytes(stream: &TcpStream, bytes: usize) -> bool {
+    let mut space = vec![MaybeUninit::uninit(); bytes];
+    SockRef::from(stream).peek(&mut space).is_ok_and(|length| length >= bytes)
+}
+
 impl ReceiveQueue {
     /// Returns the current state of the stream's receive queue.
     pub fn of(stream: &TcpStream) -> ReceiveQueue {
--- a/tests/node/client_disconnects.rs
+++ b/tests/node/client_disconnects.rs
@@ -44,6 +44,31 @@
 /// could not notice the disconnect.
 const UNREAD_BODY_BYTES: usize = 48 << 10;
 
+/// Guards against requests that are sent on although their client has left: it sent more behind them than the
+/// kernel's receive buffer holds, so that its FIN could not be received.
+#[test]
+fn a_client_that_disconnects_behind_much_unread_data_is_noticed() {
+    let listener = bind_listener();
+    let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+    Watch::accept(&node.discovery).keep_alive();
+    let open_requests = start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
+    let before = node.open_descriptors();
+    let pipelined: Vec<u8> = (0..4000).flat_map(|_| order_request()).collect();
+    for (request, trailing) in [
+        (view_request(), pipelined.clone()),
+        (order_request(), pipelined),
+        (order_request(), vec![b'x'; 400_000]),
+    ] {
+        let mut client = node.client();
+        client.send(&request);
+        client.send(&trailing);
+        wait_until_descriptors_open(&node, before + 1);
+        disconnect(client, Disconnect::Close);
+        wait_until_descriptors_closed(&node, before, "much unread data");
+    }
+    drop(open_requests);
+}
+
 /// Returns a head and the first bytes of a body that is too large to buffer. Until an endpoint gets the
 /// request, the node reads only as much of the body as hyper reads together with the head.
 fn partial_upload(id: &str) -> Vec<u8> {
