Keep the id of an order that may have run after its client left

Cause: the claim on the id was dropped with the exchange, although an endpoint that has the last byte may still run a cancelled attempt.

Change: if a request that must not run twice ends without a final answer and an attempt may have written it whole, its id is kept for 60 s, in at most 1/128 of the memory, the earliest forgotten first. Ids of requests that were never sent are free at once, as before.

Open: the other process of an upgrade shares no ids.

--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, StatusCode};
 use mothspool::{Event, RequestId};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::body::{BodyError, RequestBody, ResponseBody, UploadProgress};
 use crate::downstream::error::RequestError;
@@ -22,7 +23,8 @@
     pub request: mothspool::Request,
     /// The request as it is sent to endpoints.
     pub upstream_request: Rc<UpstreamRequest>,
-    /// Keeps the `Req-Id` claimed while the request is open.
+    /// Keeps the `Req-Id` claimed while the request is open, and longer if it may have been executed for a
+    /// client that left.
     pub claimed_id: ClaimedRequestId<'a>,
 }
 
@@ -48,10 +50,11 @@
     engine: &EngineHandle,
     lifecycle: &Lifecycle,
 ) -> Result<Response<ResponseBody>, RequestError> {
-    let AcceptedRequest { request, upstream_request, claimed_id: _claimed_id } = accepted;
+    let AcceptedRequest { request, upstream_request, claimed_id } = accepted;
     let body = upstream_request.body.clone();
     let (answer_sender, answer) = oneshot::channel();
-    let mut disconnect_guard = DisconnectGuard { id: request.id, upstream_request, engine, armed: true };
+    let mut disconnect_guard =
+        DisconnectGuard { id: request.id, claimed_id, upstream_request, engine, armed: true };
     engine.send(EngineEvent::RequestArrived {
         request,
         upstream_request: disconnect_guard.upstream_request.clone(),
@@ -115,6 +118,7 @@
 /// in the request itself, for attempts that run before the engine has processed the notification.
 struct DisconnectGuard<'a> {
     id: RequestId,
+    claimed_id: ClaimedRequestId<'a>,
     upstream_request: Rc<UpstreamRequest>,
     engine: &'a EngineHandle,
     armed: bool,
@@ -124,6 +128,9 @@
     fn drop(&mut self) {
         if self.armed {
             self.upstream_request.client_disconnected.set(true);
+            if self.upstream_request.non_idempotent && self.upstream_request.may_have_been_executed() {
+                self.claimed_id.retain(Instant::now());
+            }
             self.engine.send(EngineEvent::ClientDisconnected(self.id));
         }
     }
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -115,6 +115,7 @@
             non_idempotent: self.class.idempotency == Idempotency::NonIdempotent,
             begin_by: Cell::new(None),
             client_disconnected: Cell::new(false),
+            was_sent: Cell::new(false),
         }
     }
 }
--- a/src/node/downstream/request_ids.rs
+++ b/src/node/downstream/request_ids.rs
@@ -1,34 +1,95 @@
-//! The ids of all open requests, which have to be unique.
+//! The ids of requests that must not be accepted again: those of open requests, and for some time those of
+//! requests that may have been executed although their client left.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 /// Maximum length of a `Req-Id`.
 pub const MAX_REQUEST_ID_BYTES: usize = 128;
 
-/// The `Req-Id` of each open request. Endpoints and logs distinguish requests by it.
-#[derive(Default)]
-pub struct OpenRequestIds {
-    ids: RefCell<HashSet<Box<str>>>,
+/// How long an id is retained after its client left.
+const RETENTION: Duration = Duration::from_secs(60);
+/// Memory that a retained id takes at most, in bytes: the text, and its entries in the set and in the queue.
+const RETAINED_ID_BYTES: usize = MAX_REQUEST_ID_BYTES + 128;
+/// Divisor of the node's memory. The quotient is the memory for retained ids.
+const RETAINED_IDS_DIVISOR: usize = 128;
+
+/// The `Req-Id` of each open request, and the retained ones. Endpoints and logs distinguish requests by it.
+pub struct RequestIds {
+    /// All ids, open and retained.
+    ids: RefCell<HashSet<Rc<str>>>,
+    /// The retained ids with the end of their retention, the earliest first.
+    retained: RefCell<VecDeque<(Instant, Rc<str>)>>,
+    max_retained: usize,
 }
 
-impl OpenRequestIds {
-    /// Claims an id until the returned claim is dropped. Returns `None` if an open request has the id.
-    pub fn claim(&self, id: &str) -> Option<ClaimedRequestId<'_>> {
-        let is_new = self.ids.borrow_mut().insert(id.into());
-        is_new.then(|| ClaimedRequestId { id: id.into(), open: self })
+impl RequestIds {
+    /// Creates an empty set, for a process that may use `memory_bytes` bytes in total. If more ids have to be
+    /// retained than [`RETAINED_IDS_DIVISOR`] allows, the earliest ones are released early.
+    pub fn new(memory_bytes: usize) -> RequestIds {
+        RequestIds {
+            ids: RefCell::default(),
+            retained: RefCell::default(),
+            max_retained: memory_bytes / RETAINED_IDS_DIVISOR / RETAINED_ID_BYTES,
+        }
+    }
+
+    /// Claims an id until the returned claim is dropped. Returns `None` if an open request has the id, or if
+    /// it is retained at `now`.
+    pub fn claim(&self, id: &str, now: Instant) -> Option<ClaimedRequestId<'_>> {
+        self.release_expired(now);
+        let id: Rc<str> = id.into();
+        let is_new = self.ids.borrow_mut().insert(id.clone());
+        is_new.then(|| ClaimedRequestId { id, ids: self, retain_until: None })
+    }
+
+    fn release_expired(&self, now: Instant) {
+        let mut retained = self.retained.borrow_mut();
+        while retained.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, id)) = retained.pop_front() {
+                self.ids.borrow_mut().remove(&id);
+            }
+        }
+    }
+
+    fn retain(&self, id: Rc<str>, until: Instant) {
+        let mut retained = self.retained.borrow_mut();
+        retained.push_back((until, id));
+        if retained.len() > self.max_retained
+            && let Some((_, earliest)) = retained.pop_front()
+        {
+            self.ids.borrow_mut().remove(&earliest);
+        }
     }
 }
 
-/// The claimed id of an open request. It is released once the request is answered or its client has
-/// disconnected.
+/// The claimed id of an open request. Dropping the claim releases the id, unless it is retained.
 pub struct ClaimedRequestId<'a> {
-    id: Box<str>,
-    open: &'a OpenRequestIds,
+    id: Rc<str>,
+    ids: &'a RequestIds,
+    retain_until: Option<Instant>,
+}
+
+impl ClaimedRequestId<'_> {
+    /// Has the id retained when the claim is dropped, for [`RETENTION`] from `now` on.
+    pub fn retain(&mut self, now: Instant) {
+        self.retain_until = Some(now + RETENTION);
+    }
 }
 
 impl Drop for ClaimedRequestId<'_> {
     fn drop(&mut self) {
-        self.open.ids.borrow_mut().remove(&self.id);
+        match self.retain_until {
+            Some(until) => self.ids.retain(self.id.clone(), until),
+            None => drop(self.ids.ids.borrow_mut().remove(&self.id)),
+        }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/request_ids.rs"]
+mod tests;
--- a/src/node/protocol/headers.rs
+++ b/src/node/protocol/headers.rs
@@ -3,7 +3,8 @@
 use hyper::header::{self, HeaderMap, HeaderName};
 
 /// `Req-Id`: identifies a request. Clients should use a new one for each request, including each retry. The
-/// node rejects a repeated one only while the other request is open.
+/// node rejects a repeated one while the other request is open, and for some time after its client has left
+/// if it must not be executed twice.
 pub const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 /// `Idempotency-Key`: the key by which endpoints recognise a retry, in classes that have one.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -116,6 +116,7 @@
         let informational = InformationalCounter::attach(&mut http_request);
         let socket = lease.connection.socket().clone();
         self.may_be_written.set(true);
+        self.request.was_sent.set(true);
         // Data received earlier belongs to a previous response.
         socket.clear_received();
         tokio::select! {
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -45,6 +45,8 @@
     /// Whether the client has disconnected or failed to send the whole body, or the shutdown deadline has
     /// passed. Attempts that have written nothing yet are then not sent.
     pub client_disconnected: Cell<bool>,
+    /// Whether an attempt has begun to write the request to an endpoint.
+    pub was_sent: Cell<bool>,
 }
 
 impl UpstreamRequest {
@@ -54,6 +56,11 @@
         self.complete_upload().map(|upload| upload.received_at)
     }
 
+    /// Returns whether an endpoint may have received the whole request, and have executed it.
+    pub fn may_have_been_executed(&self) -> bool {
+        self.was_sent.get() && self.received_at().is_some()
+    }
+
     /// Returns the time from which on the whole request could be sent to an endpoint, or `None` if its last
     /// byte was not read yet.
     pub fn forwarded_at(&self) -> Option<Instant> {
