Let the body of a large response begin until the client's deadline

The client has seconds left and gets 502 or 503, although the request was run.

Cause: an attempt is given up when nothing has arrived for 300 ms after the beginning of its response. That is meant for small responses, and also ran while the first piece of one was awaited whose head states a length over 64 KiB.

Change: from the head of such a 200 on, the client's deadline ends the wait for its first piece.

--- a/src/node/body/budget.rs
+++ b/src/node/body/budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::SizeHint;
+use hyper::body::{Body, SizeHint};
 
 use crate::config::max_buffered_bytes;
 
@@ -14,6 +14,11 @@
 /// Maximum size of the pieces in which the buffered part of a larger body is passed on, in bytes.
 const MAX_PIECE_BYTES: usize = 8 << 10;
 
+/// Returns whether a body states a length that is too large to be buffered.
+pub fn is_too_large_to_buffer(body: &impl Body) -> bool {
+    body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64
+}
+
 /// Memory budget for the buffered bodies of all requests and responses.
 pub struct BufferBudget {
     /// Number of bytes that are not reserved.
--- a/src/node/body/mod.rs
+++ b/src/node/body/mod.rs
@@ -17,7 +17,7 @@
 mod request;
 mod response;
 
-pub use budget::BufferBudget;
+pub use budget::{BufferBudget, is_too_large_to_buffer};
 pub use early_streaming::EarlyStreaming;
 pub use error::BodyError;
 pub use outbound::OutboundBody;
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -13,7 +13,8 @@
 use super::request::{UpstreamRequest, head_length};
 use super::response::{ResponseFraming, StreamingResponse, closes_connection, is_rejection};
 use super::stall::{InformationalCounter, response_stalled};
-use crate::body::{OutboundBody, ResponseBody, ResponsePrefix};
+use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, is_too_large_to_buffer};
+use crate::net::UpstreamSocket;
 use crate::protocol::headers::remove_hop_by_hop_headers;
 
 /// Result of an attempt.
@@ -35,7 +36,8 @@
         endpoint: EndpointId,
         may_be_written: &Cell<bool>,
     ) -> AttemptOutcome {
-        let attempt = Attempt { pool: self, request, endpoint, may_be_written };
+        let awaits_large_body = Cell::new(false);
+        let attempt = Attempt { pool: self, request, endpoint, may_be_written, awaits_large_body };
         let result = tokio::select! {
             biased;
             result = attempt.run() => result,
@@ -53,6 +55,9 @@
     request: &'a UpstreamRequest,
     endpoint: EndpointId,
     may_be_written: &'a Cell<bool>,
+    /// Whether the head of a 200 response has been read that states a length too large to be buffered. The
+    /// endpoint may take until the client's deadline to begin its body.
+    awaits_large_body: Cell<bool>,
 }
 
 /// Why there is no response to a request on one connection.
@@ -122,7 +127,15 @@
         tokio::select! {
             biased;
             result = self.send_and_read(lease, http_request) => result,
-            () = response_stalled(&socket, &informational) => Err(Outcome::Reset.into()),
+            () = self.stalled(&socket, &informational) => Err(Outcome::Reset.into()),
+        }
+    }
+
+    /// Waits until a response that is buffered, or that may still be small, has stalled.
+    async fn stalled(&self, socket: &UpstreamSocket, informational: &InformationalCounter) {
+        response_stalled(socket, informational).await;
+        if self.awaits_large_body.get() {
+            std::future::pending::<()>().await;
         }
     }
 
@@ -189,6 +202,7 @@
     ) -> Result<AttemptOutcome, Outcome> {
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
+        self.awaits_large_body.set(head.status == StatusCode::OK && is_too_large_to_buffer(&body));
         let early_streaming = self.request.early_streaming(Instant::now());
         let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), early_streaming)
             .await
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -159,6 +159,35 @@
     assert!(started.elapsed() > Duration::from_secs(4), "the response ends long after its deadline");
 }
 
+/// Guards against a large response that is cut off while its endpoint still gives it: the body begins long
+/// after the head.
+#[test]
+fn the_body_of_a_large_response_may_begin_later_than_its_head() {
+    const PAUSE: Duration = Duration::from_millis(800);
+    let body = random_bytes(200_000);
+    let mut head = ok_with_body("", &body);
+    let rest = head.split_off(head.len() - body.len());
+    let upstream = ScriptedEndpoint::new(move |_, _| Reply::SendDelayed(head.clone(), PAUSE, rest.clone()));
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    for request in [view_request(), submit_request(), order_request()] {
+        let response = node.client().exchange(&request);
+        assert_eq!((response.status(), response.body == body), (200, true));
+    }
+    assert_eq!(upstream.request_count(), 3, "an attempt was given up");
+}
+
+/// Guards against an endpoint that keeps a client past its time with the head of a large response alone.
+#[test]
+fn a_large_response_whose_body_never_begins_fails_at_the_deadline() {
+    let head = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n";
+    let upstream = ScriptedEndpoint::new(|_, _| Reply::Send(head.to_vec()));
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let sent_at = Instant::now();
+    assert_eq!(node.client().exchange(&request("POST", "/order/1", "1", "", "xyz")).status(), 504);
+    let elapsed = sent_at.elapsed();
+    assert!(elapsed < Duration::from_millis(1500), "{elapsed:?}");
+}
+
 #[test]
 fn a_small_response_may_arrive_slowly_in_pieces() {
     let pieces: Vec<Vec<u8>> = response(200, "", "done").chunks(4).map(<[u8]>::to_vec).collect();
@@ -194,8 +223,8 @@
     drop(readers);
 }
 
-/// Guards against a body that is held back because its length is unknown: a client may send it at the required
-/// rate for longer than the deadline, which counts from its last byte.
+/// Guards against a body that is held back because its length is unknown: a client may send it at the
+/// required rate for longer than the deadline, which counts from its last byte.
 #[test]
 fn a_slow_chunked_upload_is_forwarded() {
     const PIECE_BYTES: usize = 8 << 10;
