Share the ids of orders between the two processes of a hot restart

Cause: each process knew its own ids only.

The older process claims what it has open before it releases descriptors, so before the successor accepts requests. No file and no folder is made without a second process, or without orders. State file, lock and release file are unchanged; an older version knows nothing of the folder.

--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -14,7 +14,7 @@
 use crate::downstream::exchange::{AcceptedRequest, exchange, notify_engine_of_upload};
 use crate::downstream::health;
 use crate::downstream::request::{RequestHead, check_framing, is_chunked};
-use crate::downstream::request_ids::RequestIds;
+use crate::downstream::request_ids::{Repetition, RequestIds};
 use crate::downstream::responses::{client_error, rejected};
 use crate::engine::EngineHandle;
 use crate::lifecycle::Lifecycle;
@@ -55,7 +55,7 @@
     lifecycle: Rc<Lifecycle>,
     connections: Rc<ConnectionTable>,
     buffer_budget: Rc<BufferBudget>,
-    request_ids: RequestIds,
+    request_ids: Rc<RequestIds>,
 }
 
 impl RequestHandler {
@@ -66,8 +66,8 @@
         lifecycle: Rc<Lifecycle>,
         connections: Rc<ConnectionTable>,
         buffer_budget: Rc<BufferBudget>,
+        request_ids: Rc<RequestIds>,
     ) -> RequestHandler {
-        let request_ids = RequestIds::new(config.limits.memory);
         RequestHandler { config, engine, lifecycle, connections, buffer_budget, request_ids }
     }
 
@@ -141,7 +141,8 @@
         let head = RequestHead::parse(parts, !body.is_end_stream(), &self.config)?;
         let body = RequestBody::read(body, body_deadline, &self.buffer_budget, observer).await?;
         let buffered_at = Instant::now();
-        let claimed_id = self.request_ids.claim(head.client_request_id(), buffered_at);
+        let repetition = if head.is_non_idempotent() { Repetition::Forbidden } else { Repetition::Allowed };
+        let claimed_id = self.request_ids.claim(head.client_request_id(), repetition, buffered_at);
         let claimed_id = claimed_id.ok_or(RequestError::DuplicateRequestId)?;
         let id = self.engine.next_request_id();
         notify_engine_of_upload(&body, id, &self.engine);
--- a/src/node/downstream/request_ids.rs
+++ b/src/node/downstream/request_ids.rs
@@ -2,26 +2,39 @@
 //! requests that may have been executed although their client left.
 
 use std::cell::RefCell;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::state_store::SharedRequestIds;
+
 /// Maximum length of a `Req-Id`.
 pub const MAX_REQUEST_ID_BYTES: usize = 128;
 
 /// How long an id is retained after its client left.
-const RETENTION: Duration = Duration::from_secs(60);
+pub const RETENTION: Duration = Duration::from_secs(60);
 /// Memory that a retained id takes at most, in bytes: the text, and its entries in the set and in the queue.
 const RETAINED_ID_BYTES: usize = MAX_REQUEST_ID_BYTES + 128;
 /// Divisor of the node's memory. The quotient is the memory for retained ids.
 const RETAINED_IDS_DIVISOR: usize = 128;
 
+/// Whether the request of an id may be executed more than once.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Repetition {
+    /// It may. Its id is known to this process only.
+    Allowed,
+    /// It must not. Its id is shared with another process of the node.
+    Forbidden,
+}
+
 /// The `Req-Id` of each open request, and the retained ones. Endpoints and logs distinguish requests by it.
 pub struct RequestIds {
     /// All ids, open and retained.
-    ids: RefCell<HashSet<Rc<str>>>,
+    ids: RefCell<HashMap<Rc<str>, Repetition>>,
+    /// The ids of all processes of the node, while they share them.
+    shared: RefCell<Option<SharedRequestIds>>,
     /// The retained ids with the end of their retention, the earliest first.
     retained: RefCell<VecDeque<(Instant, Rc<str>)>>,
     max_retained: usize,
@@ -33,25 +46,59 @@
     pub fn new(memory_bytes: usize) -> RequestIds {
         RequestIds {
             ids: RefCell::default(),
+            shared: RefCell::new(None),
             retained: RefCell::default(),
             max_retained: memory_bytes / RETAINED_IDS_DIVISOR / RETAINED_ID_BYTES,
         }
     }
 
+    /// Shares the ids whose requests must not be repeated with other processes, beginning with those that are
+    /// claimed now. With `None`, releases all shared ids.
+    pub fn share(&self, shared: Option<SharedRequestIds>) {
+        if let Some(shared) = &shared {
+            let ids = self.ids.borrow();
+            let exclusive = ids.iter().filter(|(_, repetition)| **repetition == Repetition::Forbidden);
+            exclusive.for_each(|(id, _)| {
+                shared.claim(id);
+            });
+        }
+        let shares = shared.is_some();
+        let previous = self.shared.replace(shared);
+        previous.filter(|_| !shares).iter().for_each(SharedRequestIds::clear);
+    }
+
     /// Claims an id until the returned claim is dropped. Returns `None` if an open request has the id, or if
     /// it is retained at `now`.
-    pub fn claim(&self, id: &str, now: Instant) -> Option<ClaimedRequestId<'_>> {
+    pub fn claim(&self, id: &str, repetition: Repetition, now: Instant) -> Option<ClaimedRequestId<'_>> {
         self.release_expired(now);
+        if self.ids.borrow().contains_key(id) || !self.claim_shared(id, repetition) {
+            return None;
+        }
         let id: Rc<str> = id.into();
-        let is_new = self.ids.borrow_mut().insert(id.clone());
-        is_new.then(|| ClaimedRequestId { id, ids: self, retain_until: None })
+        self.ids.borrow_mut().insert(id.clone(), repetition);
+        Some(ClaimedRequestId { id, ids: self, retain_until: None })
+    }
+
+    /// Claims an id among all processes, and returns whether no other one has it.
+    fn claim_shared(&self, id: &str, repetition: Repetition) -> bool {
+        let shared = self.shared.borrow();
+        repetition == Repetition::Allowed || shared.as_ref().is_none_or(|shared| shared.claim(id))
+    }
+
+    fn release(&self, id: &str) {
+        let repetition = self.ids.borrow_mut().remove(id);
+        if let Some(shared) = &*self.shared.borrow()
+            && repetition == Some(Repetition::Forbidden)
+        {
+            shared.release(id);
+        }
     }
 
     fn release_expired(&self, now: Instant) {
         let mut retained = self.retained.borrow_mut();
         while retained.front().is_some_and(|(until, _)| *until <= now) {
             if let Some((_, id)) = retained.pop_front() {
-                self.ids.borrow_mut().remove(&id);
+                self.release(&id);
             }
         }
     }
@@ -62,7 +109,7 @@
         if retained.len() > self.max_retained
             && let Some((_, earliest)) = retained.pop_front()
         {
-            self.ids.borrow_mut().remove(&earliest);
+            self.release(&earliest);
         }
     }
 }
@@ -85,7 +132,7 @@
     fn drop(&mut self) {
         match self.retain_until {
             Some(until) => self.ids.retain(self.id.clone(), until),
-            None => drop(self.ids.ids.borrow_mut().remove(&self.id)),
+            None => self.ids.release(&self.id),
         }
     }
 }
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -10,9 +10,11 @@
 use crate::downstream::connection::CLIENT_SEND_TIMEOUT;
 use crate::downstream::connections::{ConnectionLimits, ConnectionTable};
 use crate::downstream::handler::RequestHandler;
+use crate::downstream::request_ids::{RETENTION, RequestIds};
 use crate::downstream::service::ConnectionService;
 use crate::engine::EngineHandle;
 use crate::lifecycle::{ClientConnections, Lifecycle};
+use crate::state_store::SharedRequestIds;
 use crate::upstream::{UpstreamPool, max_upstream_connections};
 
 /// Interval at which connections that have been idle for too long or are stuck are closed.
@@ -30,6 +32,7 @@
     upstream: Rc<UpstreamPool>,
     lifecycle: Rc<Lifecycle>,
     connections: Rc<ConnectionTable>,
+    request_ids: Rc<RequestIds>,
     service: Rc<ConnectionService>,
 }
 
@@ -44,12 +47,14 @@
     ) -> DownstreamServer {
         let limits = ConnectionLimits::new(config.limits.max_connections, upstream.max_connections());
         let connections = Rc::new(ConnectionTable::new(limits));
+        let request_ids = Rc::new(RequestIds::new(config.limits.memory));
         let handler = RequestHandler::new(
             config.clone(),
             engine,
             lifecycle.clone(),
             connections.clone(),
             buffer_budget,
+            request_ids.clone(),
         );
         let service = ConnectionService::new(
             handler,
@@ -57,7 +62,8 @@
             lifecycle.clone(),
             config.limits.connection_buffer,
         );
-        DownstreamServer { config, upstream, lifecycle, connections, service: Rc::new(service) }
+        let service = Rc::new(service);
+        DownstreamServer { config, upstream, lifecycle, connections, request_ids, service }
     }
 
     pub(super) fn node_name(&self) -> &str {
@@ -107,6 +113,14 @@
         self.connections.set_limits(ConnectionLimits::new(descriptors, self.upstream.max_connections()));
     }
 
+    fn share_request_ids(&self, ids: Option<SharedRequestIds>) {
+        self.request_ids.share(ids);
+    }
+
+    fn request_id_retention(&self) -> Duration {
+        RETENTION
+    }
+
     fn exceeds_limit(&self) -> bool {
         self.connections.exceeds_limit()
     }
--- a/src/node/lifecycle/hot_restart.rs
+++ b/src/node/lifecycle/hot_restart.rs
@@ -6,6 +6,9 @@
 //! predecessor that still runs. In both cases it uses at most half of the descriptors for
 //! [`DESCRIPTOR_SHARING_PERIOD`].
 //!
+//! They also share the ids of requests that must not be executed twice, since a client may send a request
+//! again to the other process.
+//!
 //! The predecessor closes idle connections until it is within this limit or a timeout has passed, and then
 //! records in a file that it has released the other half. The successor becomes ready to serve after the
 //! release, or after a timeout: the predecessor may have crashed, or its version may not support the release.
@@ -44,6 +47,8 @@
     latest_start_number: u64,
     /// When this process first saw that start number.
     latest_start_observed_at: Instant,
+    /// Whether this process shares request ids with another one.
+    shares_request_ids: bool,
     /// Start number of the process to which this one last released descriptors; its own start number if there
     /// was none.
     released_to: u64,
@@ -74,6 +79,7 @@
             started_at: now,
             latest_start_number: start_number,
             latest_start_observed_at: now,
+            shares_request_ids: false,
             released_to: start_number,
         }
     }
@@ -91,6 +97,8 @@
     fn step(&mut self, now: Instant) {
         self.update_latest_start_number(now);
         self.connections.set_hot_restart_limits(self.shares_descriptors(now));
+        // This precedes the release, after which the successor accepts requests.
+        self.update_request_id_sharing(now);
         if self.can_release_descriptors(now) {
             self.store.release_descriptors(self.latest_start_number);
             self.released_to = self.latest_start_number;
@@ -110,7 +118,23 @@
 
     /// Returns whether another process may be using descriptors too.
     fn shares_descriptors(&self, now: Instant) -> bool {
-        self.latest_start_number > 1 && now - self.latest_start_observed_at < DESCRIPTOR_SHARING_PERIOD
+        self.started_within(DESCRIPTOR_SHARING_PERIOD, now)
+    }
+
+    /// Returns whether a process that is not the first one has started within this period.
+    fn started_within(&self, period: Duration, now: Instant) -> bool {
+        self.latest_start_number > 1 && now - self.latest_start_observed_at < period
+    }
+
+    /// Shares request ids while another process may be running, and then for as long as the ids of that
+    /// process have to be known.
+    fn update_request_id_sharing(&mut self, now: Instant) {
+        let period = DESCRIPTOR_SHARING_PERIOD + self.connections.request_id_retention();
+        let shares = self.started_within(period, now);
+        if shares != self.shares_request_ids {
+            self.shares_request_ids = shares;
+            self.connections.share_request_ids(shares.then(|| self.store.shared_request_ids()));
+        }
     }
 
     /// Returns whether a successor waits for descriptors, and this process is within its limit or
--- a/src/node/lifecycle/mod.rs
+++ b/src/node/lifecycle/mod.rs
@@ -8,10 +8,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::state_store::SharedRequestIds;
 use crate::upstream::UpstreamPool;
 
 pub use hot_restart::HotRestart;
@@ -55,6 +57,13 @@
     /// true, and to all of them otherwise. Connections above the limit are closed as soon as they are idle.
     fn set_hot_restart_limits(&self, active: bool);
 
+    /// Shares the ids of open requests that must not be executed twice with the other processes of the node,
+    /// or no longer shares them if `ids` is `None`.
+    fn share_request_ids(&self, ids: Option<SharedRequestIds>);
+
+    /// Returns how long an id may have to be known after its request.
+    fn request_id_retention(&self) -> Duration;
+
     /// Returns whether there are more downstream connections than the limit. Those that are closing count.
     fn exceeds_limit(&self) -> bool;
 
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -6,6 +6,7 @@
 
 mod admin_state;
 mod error;
+mod shared_request_ids;
 
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File, TryLockError};
@@ -18,6 +19,7 @@
 
 pub use admin_state::AdminState;
 pub use error::StateError;
+pub use shared_request_ids::SharedRequestIds;
 
 use crate::log::ErrorChain;
 
@@ -193,6 +195,14 @@
     }
 }
 
+/// Request ids are shared in a folder next to the state file.
+impl StateStore {
+    /// Returns the request ids that the processes of the node share.
+    pub fn shared_request_ids(&self) -> SharedRequestIds {
+        SharedRequestIds::new(self.path.with_extension("ids"))
+    }
+}
+
 #[cfg(test)]
 #[path = "../../../tests/unit/state_store.rs"]
 mod tests;
--- a/tests/node/hot_restart.rs
+++ b/tests/node/hot_restart.rs
@@ -156,6 +156,28 @@
     assert!(bodies.iter().all(|body| body == b"two"), "a map server in maintenance got requests");
 }
 
+/// Guards against an order that runs twice because it comes again at the other process of a hot restart,
+/// while its first client waits and after that client has left.
+#[test]
+fn an_order_that_comes_again_at_the_successor_is_rejected() {
+    let upstream = ScriptedEndpoint::new(|_, _| Reply::Never);
+    let (listener, state_dir) = (TcpListener::bind("127.0.0.1:0").unwrap(), state_dir());
+    let older = Node::with_inherited_listener(&[ready_endpoint("a", &upstream)], &listener, &state_dir);
+    let order = request_with_id("9b1f03aa5c7e2d44", "POST", "/order/1", "14", "", "xyz");
+    let mut client = older.client();
+    client.send(&order);
+    let (connection, _) = upstream.next_request();
+    let newer = Node::with_inherited_listener(&[ready_endpoint("a", &upstream)], &listener, &state_dir);
+    wait_until("the successor can serve", || newer.admin_request("GET", "/status", "").status() == 200);
+    older.terminate();
+    wait_until("the older process shuts down", || older.admin_status()["phase"] == "leaving");
+    assert_eq!(newer.client().exchange(&order).status(), 409);
+    drop(client);
+    assert_eq!(upstream.next_closed_connection(), connection);
+    assert_eq!(newer.client().exchange(&order).status(), 409);
+    assert_eq!(upstream.request_count(), 1);
+}
+
 #[test]
 fn exits_with_an_error_on_an_invalid_inherited_socket() {
     let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
--- a/tests/unit/hot_restart.rs
+++ b/tests/unit/hot_restart.rs
@@ -1,7 +1,7 @@
 use std::cell::Cell;
 
 use super::*;
-use crate::state_store::{AdminState, StateObserver};
+use crate::state_store::{AdminState, SharedRequestIds, StateObserver};
 use crate::unit_support::{TempFolder, upstream_pool};
 
 /// Stand-in for the connections. The test sets whether they exceed their limit.
@@ -10,13 +10,25 @@
     /// Whether descriptors are shared, as last set by the process.
     shared: Cell<bool>,
     exceeds_limit: Cell<bool>,
+    shares_request_ids: Cell<bool>,
 }
 
+/// How long the stand-in has to know ids.
+const REQUEST_ID_RETENTION: Duration = Duration::from_secs(30);
+
 impl ClientConnections for FakeConnections {
     fn set_hot_restart_limits(&self, active: bool) {
         self.shared.set(active);
     }
 
+    fn share_request_ids(&self, ids: Option<SharedRequestIds>) {
+        self.shares_request_ids.set(ids.is_some());
+    }
+
+    fn request_id_retention(&self) -> Duration {
+        REQUEST_ID_RETENTION
+    }
+
     fn exceeds_limit(&self) -> bool {
         self.exceeds_limit.get()
     }
@@ -73,6 +85,27 @@
     }
 }
 
+#[test]
+fn request_ids_are_shared_until_the_last_one_of_the_predecessor_expires() {
+    let folder = TempFolder::new();
+    let [mut single] = register_processes(&folder);
+    let now = Instant::now();
+    poll(&mut single, now);
+    assert!(!single.connections.shares_request_ids.get());
+    let [mut newer] = register_processes(&folder);
+    for process in [&mut single, &mut newer] {
+        poll(process, now);
+        assert!(process.connections.shares_request_ids.get());
+        // The ids are shared before the descriptors are released.
+        assert_eq!(process.released_to, 2);
+        let end = process.latest_start_observed_at + DESCRIPTOR_SHARING_PERIOD + REQUEST_ID_RETENTION;
+        poll(process, end - Duration::from_millis(100));
+        assert!(process.connections.shares_request_ids.get());
+        poll(process, end);
+        assert!(!process.connections.shares_request_ids.get());
+    }
+}
+
 #[test]
 fn descriptors_are_released_once_connections_are_within_the_limit() {
     let folder = TempFolder::new();
