Let requests sent at once on one connection take turns with those of others

Cause: hyper serves the requests in a connection's buffer one after the other. Those that need no endpoint are answered without a wait, so its task does a series of them before other connections get their turn.

Change: a request that begins within 0.2 ms of the end of the last response on its connection was sent before that was received; it first lets all other tasks have a turn.

--- a/src/node/downstream/service.rs
+++ b/src/node/downstream/service.rs
@@ -82,6 +82,9 @@
         request: Request<Incoming>,
         connection: &Rc<Connection>,
     ) -> Response<ResponseBody> {
+        if connection.has_just_been_used() {
+            tokio::task::yield_now().await;
+        }
         let body_deadline = connection.body_deadline();
         let guard = self.connections.start_request(connection);
         let reply = self.handler.reply(request, connection.observer(), body_deadline).await;
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -48,6 +48,13 @@
     ]
 }
 
+/// Returns a node and the listener of its only endpoint.
+fn start_node_with_listener() -> (Node, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&[endpoint_entry("a", listener.local_addr().unwrap(), 1, "ready")]);
+    (node, listener)
+}
+
 /// Guards against large requests whose time begins anew when an endpoint takes them from the queue, as the
 /// node reads their last bytes only then.
 #[test]
@@ -55,9 +62,7 @@
     const DEADLINE: Duration = Duration::from_secs(3);
     const QUEUE_TIME: Duration = Duration::from_millis(1500);
     for order in large_orders(DEADLINE, 100_000) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
+        let (node, listener) = start_node_with_listener();
         let mut open_requests =
             start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
         let mut client = node.client();
@@ -81,11 +86,9 @@
     const PIECE_BYTES: usize = 64 << 10;
     const PIECE_INTERVAL: Duration = Duration::from_millis(32);
     for order in large_orders(DEADLINE, 9_000_000) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (node, listener) = start_node_with_listener();
         // With this, the kernel holds little of the body between the node and the endpoint.
         SockRef::from(&listener).set_recv_buffer_size(PIECE_BYTES).unwrap();
-        let address = listener.local_addr().unwrap();
-        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
         let mut client = node.client();
         thread::scope(|scope| {
             scope.spawn(|| {
@@ -112,9 +115,7 @@
     // 64,000 bytes a second.
     const PIECE_INTERVAL: Duration = Duration::from_millis(128);
     for order in large_orders(Duration::from_secs(2), PIECES * PIECE_BYTES) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let node = Node::start(&[endpoint_entry("a", address, 1, "ready")]);
+        let (node, listener) = start_node_with_listener();
         let mut open_requests =
             start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
         let mut client = node.client();
--- a/tests/unit/downstream.rs
+++ b/tests/unit/downstream.rs
@@ -169,3 +169,32 @@
     });
     assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
 }
+
+/// Guards against a client that sends requests at full speed on one connection and so delays other clients:
+/// for each request of theirs, one of its own may be served and not a series.
+#[test]
+fn requests_sent_at_once_on_one_connection_take_turns_with_those_of_others() {
+    const REQUESTS: usize = 20;
+    const MAX_RESPONSES_A_TURN: usize = 4;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let server = new_server();
+        let (mut flooding, _) = open_connection(&server).await;
+        let (mut other, _) = open_connection(&server).await;
+        flooding.write_all(&HEALTH_CHECK.repeat(1500)).unwrap();
+        flooding.set_nonblocking(true).unwrap();
+        other.set_nonblocking(true).unwrap();
+        let (mut flood_responses, mut text) = (Vec::new(), [0; 64 << 10]);
+        for _ in 0..REQUESTS {
+            other.write_all(HEALTH_CHECK).unwrap();
+            while other.read(&mut text).is_err() {
+                yield_now().await;
+                if let Ok(length) = flooding.read(&mut text) {
+                    flood_responses.extend_from_slice(&text[..length]);
+                }
+            }
+        }
+        let count = flood_responses.windows(4).filter(|bytes| bytes == b"HTTP").count();
+        assert!(count > 0 && count <= REQUESTS * MAX_RESPONSES_A_TURN, "{count} responses");
+    });
+}
--- a/tests/unit/hot_restart.rs
+++ b/tests/unit/hot_restart.rs
@@ -1,8 +1,8 @@
 use std::cell::Cell;
 
 use super::*;
-use crate::state_store::{AdminState, SharedRequestIds, StateObserver};
-use crate::unit_support::{TempFolder, upstream_pool};
+use crate::state_store::SharedRequestIds;
+use crate::unit_support::{IgnoreState, TempFolder, upstream_pool};
 
 /// Stand-in for the connections. The test sets whether they exceed their limit.
 #[derive(Default)]
@@ -36,13 +36,6 @@
     async fn drain(&self) {}
 }
 
-/// Observer of processes to which no state has to be applied.
-struct IgnoreState;
-
-impl StateObserver for IgnoreState {
-    fn on_state_change(&self, _: &AdminState, _: &AdminState) {}
-}
-
 /// Registers processes of one node with its state file in `folder`, one after the other.
 fn register_processes<const N: usize>(folder: &TempFolder) -> [HotRestart<FakeConnections>; N] {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/tests/unit/request_ids.rs
+++ b/tests/unit/request_ids.rs
@@ -1,12 +1,6 @@
 use super::*;
-use crate::state_store::{AdminState, StateObserver, StateStore};
-use crate::unit_support::TempFolder;
-
-struct IgnoreState;
-
-impl StateObserver for IgnoreState {
-    fn on_state_change(&self, _: &AdminState, _: &AdminState) {}
-}
+use crate::state_store::StateStore;
+use crate::unit_support::{IgnoreState, TempFolder};
 
 fn retain(ids: &RequestIds, id: &str, now: Instant) {
     ids.claim(id, Repetition::Forbidden, now).unwrap().retain(now);
--- a/tests/unit/support.rs
+++ b/tests/unit/support.rs
@@ -7,8 +7,16 @@
 
 use crate::body::BufferBudget;
 use crate::config::Config;
+use crate::state_store::{AdminState, StateObserver};
 use crate::upstream::UpstreamPool;
 
+/// Observer of processes to which no state has to be applied.
+pub struct IgnoreState;
+
+impl StateObserver for IgnoreState {
+    fn on_state_change(&self, _: &AdminState, _: &AdminState) {}
+}
+
 /// A temporary folder, initially empty. It is removed with its files when this value is dropped.
 pub struct TempFolder(pub PathBuf);
 
