Read the state file again if it could not be opened, and don't write over it

What callers saw: an order that the other process of a node has written while this one had no free descriptor is never followed; this one's next update overwrites it.

Cause: the version of the file was remembered before it was read, and an update went on with the last known state.

Change: the version is remembered after the read. An update that can't read the file fails.

A file that can't be decoded is handled as before.

--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -73,6 +73,8 @@
     observer: Box<dyn StateObserver>,
     /// The version of the file that was last read, even if it could not be decoded.
     last_read: Cell<Option<FileVersion>>,
+    /// Whether the last refresh could not read the file.
+    read_failed: Cell<bool>,
 }
 
 impl StateStore {
@@ -87,6 +89,7 @@
             state: RefCell::default(),
             observer: Box::new(observer),
             last_read: Cell::new(None),
+            read_failed: Cell::new(false),
         };
         store.refresh();
         store
@@ -98,22 +101,42 @@
     }
 
     /// Reads the file if it was written since the last read. A file that cannot be read or decoded is logged
-    /// once and leaves the state unchanged. Without a known state, it is the default one. The file is read
-    /// again when it is written.
+    /// once and leaves the state unchanged. Without a known state, it is the default one. One that cannot be
+    /// read is read again by the next refresh, one that cannot be decoded when it is written.
     pub fn refresh(&self) {
+        match self.read_if_changed() {
+            Ok(()) => self.read_failed.set(false),
+            Err(error) if self.read_failed.replace(true) => drop(error),
+            Err(error) => self.log_unusable_file(&error),
+        }
+    }
+
+    /// Reads the file if it was written since the last read. A file that cannot be decoded is logged.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, for example because no descriptor is left.
+    fn read_if_changed(&self) -> Result<(), StateError> {
         // If the file is missing, the last state stays valid: the file existed before, and may reappear.
-        let Ok(version) = FileVersion::of(&self.path) else { return };
-        if self.last_read.replace(Some(version)) == Some(version) {
-            return;
+        let Ok(version) = FileVersion::of(&self.path) else { return Ok(()) };
+        if self.last_read.get() == Some(version) {
+            return Ok(());
         }
-        match self.load() {
+        let text = fs::read(&self.path).map_err(StateError::Read)?;
+        self.last_read.set(Some(version));
+        match admin_state::decode(&text) {
             Ok(state) => self.set_state(state),
-            Err(error) => log!(
-                "cannot use state file {}, keeping the last known standby and maintenance state: {}",
-                self.path.display(),
-                ErrorChain(&error)
-            ),
+            Err(error) => self.log_unusable_file(&error),
         }
+        Ok(())
+    }
+
+    fn log_unusable_file(&self, error: &StateError) {
+        log!(
+            "cannot use state file {}, keeping the last known standby and maintenance state: {}",
+            self.path.display(),
+            ErrorChain(error)
+        );
     }
 
     /// Replaces the known state, and has the observer apply it. Nothing else changes the known state.
@@ -128,13 +151,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the file cannot be locked within 400 ms or cannot be written. `change` has no effect in that
-    /// case.
+    /// Fails if the file cannot be locked within 400 ms, or cannot be read or written. `change` has no effect
+    /// in that case.
     pub async fn update(&self, change: impl FnOnce(&mut AdminState)) -> Result<(), StateError> {
         let _lock = self.lock().await?;
         // There is no await from here to the rename, and the lock is held: no other task and no other process
         // can change the state between the read and the write.
-        self.refresh();
+        self.read_if_changed()?;
         let mut state = self.state();
         change(&mut state);
         self.write(&state)?;
@@ -142,11 +165,6 @@
         Ok(())
     }
 
-    fn load(&self) -> Result<AdminState, StateError> {
-        let text = fs::read(&self.path).map_err(StateError::Read)?;
-        admin_state::decode(&text)
-    }
-
     /// Locks the state file against other writers until the returned file is dropped.
     async fn lock(&self) -> Result<File, StateError> {
         let path = self.path.with_extension("lock");
--- a/tests/node/hot_restart.rs
+++ b/tests/node/hot_restart.rs
@@ -1,6 +1,7 @@
 //! Hot restart: two processes of a node share one inherited listener.
 
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
 use std::process::Command;
 use std::time::Duration;
 use std::{fs, thread};
@@ -141,9 +142,7 @@
     // The admin API responds once the file was read for the first time. There was none.
     assert_eq!(node.admin_status()["maintenance"], json!([]));
     let orders = json!({"starts": 1, "standby": true, "maintenance": ["a"], "returned": {}});
-    let text = json!({"version": 1, "orders": orders}).to_string();
-    fs::write(state_dir.join("dunelink-n0.next"), text).unwrap();
-    fs::rename(state_dir.join("dunelink-n0.next"), state_dir.join("dunelink-n0.json")).unwrap();
+    write_state_file(&state_dir, &orders);
     drop(lock);
     wait_until("the start is counted", || {
         let state: Value =
@@ -156,6 +155,32 @@
     assert!(bodies.iter().all(|body| body == b"two"), "a map server in maintenance got requests");
 }
 
+/// Guards against orders that a process never applies because it could not open the state file when they were
+/// written.
+#[test]
+fn orders_that_are_written_while_no_descriptor_is_free_are_applied_later() {
+    let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
+    let (listener, state_dir) = (TcpListener::bind("127.0.0.1:0").unwrap(), state_dir());
+    let node = Node::with_inherited_listener(&[ready_endpoint("a", &upstream)], &listener, &state_dir);
+    wait_until("the process can serve", || node.admin_status()["able"] == true);
+    let descriptors = node.open_descriptors();
+    node.exhaust_descriptors();
+    let orders = json!({"starts": 1, "standby": true, "maintenance": ["a"], "returned": {}});
+    write_state_file(&state_dir, &orders);
+    // The process tries to read the file several times in this pause.
+    pause_200_ms();
+    node.set_descriptor_limit(descriptors + 100);
+    wait_until("the order is applied", || node.admin_status()["phase"] == "standby");
+    assert_eq!(node.admin_status()["maintenance"], json!(["a"]));
+}
+
+/// Writes the state file as another process of the node would.
+fn write_state_file(state_dir: &Path, orders: &Value) {
+    let text = json!({"version": 1, "orders": orders}).to_string();
+    fs::write(state_dir.join("dunelink-n0.next"), text).unwrap();
+    fs::rename(state_dir.join("dunelink-n0.next"), state_dir.join("dunelink-n0.json")).unwrap();
+}
+
 /// Guards against an order that runs twice because it comes again at the other process of a hot restart,
 /// while its first client waits and after that client has left.
 #[test]
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -230,7 +230,12 @@
     pub fn exhaust_descriptors(&self) {
         let is_open = |n: &usize| Path::new(&format!("/proc/{}/fd/{n}", self.child.id())).is_symlink();
         let lowest_free = (0..).find(|n| !is_open(n)).unwrap();
-        let args = ["--pid".into(), self.child.id().to_string(), format!("--nofile={lowest_free}")];
+        self.set_descriptor_limit(lowest_free);
+    }
+
+    /// Sets the descriptor limit of the process.
+    pub fn set_descriptor_limit(&self, limit: usize) {
+        let args = ["--pid".into(), self.child.id().to_string(), format!("--nofile={limit}:")];
         assert!(Command::new("prlimit").args(args).status().unwrap().success());
     }
 
--- a/tests/unit/state_store.rs
+++ b/tests/unit/state_store.rs
@@ -131,6 +131,19 @@
     assert!(!store.state().standby && applied.states.borrow().is_empty());
 }
 
+/// Guards against an update that overwrites the orders in a file that it could not read.
+#[test]
+fn an_update_fails_if_the_file_cannot_be_read() {
+    let folder = TempFolder::new();
+    let (store, applied) = open(&folder);
+    // A folder can't be read as a file.
+    fs::create_dir(folder.0.join("dunelink-n0.json")).unwrap();
+    store.refresh();
+    let error = update(&store, |state| state.standby = true).unwrap_err();
+    assert!(matches!(error, StateError::Read(_)), "{error}");
+    assert!(applied.states.borrow().is_empty());
+}
+
 #[test]
 fn reports_why_a_file_cannot_be_decoded() {
     let decode_error = |text: &str| admin_state::decode(text.as_bytes()).unwrap_err();
