Don't fail a long upload whose end can't have been sent yet, and check for input rarely

Seen when the clock of large requests was tested further: a chunked upload of 31 MB that takes 3 s is failed after its 2 s, although its client still sends. Without a stated length, the clock took the first unread byte of a request for its possible end.

Change: the clock marks the progress every 1 MiB. Once 8 MiB more have been read than at a mark, the bytes that are still unread had not been sent then. Also, the check for input behind a waiting request now waits for the socket to be readable before it looks every 40 ms, so that requests with nothing behind them cost no timer.

--- a/src/node/body/request.rs
+++ b/src/node/body/request.rs
@@ -15,15 +15,12 @@
 use crate::body::error::BodyError;
 use crate::body::incoming::IncomingBody;
 use crate::body::pacing::PacedBody;
-use crate::body::reception::ReceptionClock;
+use crate::body::reception::{MAX_IN_FLIGHT_BYTES, ReceptionClock};
 use crate::net::SocketObserver;
 
 /// Interval of the checks whether a client owes some of its body. It is longer than the time that data takes
 /// from one data center to the other and back.
 const RECEPTION_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Maximum number of bytes that a client has sent and the node has not read: the kernel's buffers on both
-/// machines hold 10 MiB by default on Linux, their bookkeeping included.
-const MAX_IN_FLIGHT_BYTES: u64 = 8 << 20;
 
 /// Progress of a streamed request body.
 #[derive(Clone, Copy)]
@@ -102,7 +99,8 @@
     pub async fn track_reception(&self) -> Infallible {
         loop {
             sleep(RECEPTION_CHECK_INTERVAL).await;
-            self.reception.check(self.client_owes_data(), Instant::now());
+            let received = self.rest.borrow().received();
+            self.reception.check(self.client_owes_data(), received, Instant::now());
         }
     }
 
@@ -211,6 +209,7 @@
         };
         // Nobody polls for more until an attempt begins to send the body.
         body.pause();
+        let reception = ReceptionClock::new(body.received(), Instant::now());
         Ok(RequestBody::Streamed(Rc::new(StreamingRequestBody {
             prefix: RefCell::new(prefix),
             rest: RefCell::new(body),
@@ -218,7 +217,7 @@
             progress: watch::Sender::new(UploadProgress::NotStarted),
             listener: RefCell::new(None),
             observer: observer.clone(),
-            reception: ReceptionClock::new(Instant::now()),
+            reception,
         })))
     }
 
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -82,10 +82,14 @@
         let stream = self.stream.as_ref();
         let limit = SockRef::from(stream).recv_buffer_size().unwrap_or(0) / UNREAD_INPUT_DIVISOR;
         loop {
-            sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
+            // Nothing is unread behind most requests, so that this waits for as long as they do.
+            if stream.readable().await.is_err() {
+                return;
+            }
             if self.has_unread_data() && has_unread_bytes(stream, limit.max(1)) {
                 break;
             }
+            sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
         }
         self.has_discarded_input.set(true);
         self.linger();
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -138,3 +138,35 @@
         });
     }
 }
+
+/// Guards against a long upload that is failed although its client still sends: the endpoint reads it more
+/// slowly than the client could send it, and takes longer than the client's time.
+#[test]
+fn the_time_of_a_long_request_does_not_begin_before_its_end_can_have_been_sent() {
+    const BODY_BYTES: usize = 31_000_000;
+    const PIECE_BYTES: usize = 256 << 10;
+    // 10 MB a second.
+    const PIECE_INTERVAL: Duration = Duration::from_millis(25);
+    for order in large_orders(Duration::from_secs(2), BODY_BYTES) {
+        let (node, listener) = start_node_with_listener();
+        let mut client = node.client();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let mut endpoint = accept_connection(&listener);
+                let (mut received, mut piece) = (0, vec![0; PIECE_BYTES]);
+                while received < BODY_BYTES {
+                    let length = endpoint.read(&mut piece).unwrap();
+                    assert!(length > 0, "the request ends after {received} bytes");
+                    received += length;
+                    // Reads are shorter than a piece, so this keeps to the rate.
+                    thread::sleep(PIECE_INTERVAL.mul_f64(length as f64 / PIECE_BYTES as f64));
+                }
+                endpoint.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+                while endpoint.read(&mut piece).is_ok_and(|length| length > 0) {}
+                Connection::from_stream(endpoint).send(&response(200, "", "noted"));
+            });
+            client.send(&order);
+            assert_eq!(client.receive().body, b"noted");
+        });
+    }
+}
