--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -86,10 +86,11 @@
             if stream.readable().await.is_err() {
                 return;
             }
+            // Requests that are answered sooner are served with all that follows them.
+            sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
             if self.has_unread_data() && has_unread_bytes(stream, limit.max(1)) {
                 break;
             }
-            sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
         }
         self.has_discarded_input.set(true);
         self.linger();
