Use the existing type for idempotency in the request ids, and one retention constant

Cause: Repetition said again what Idempotency says, sharing was switched on and off by one function with an Option, and the retention of ids reached HotRestart through a trait method.

Change: ids carry Idempotency; start_sharing and stop_sharing; REQUEST_ID_RETENTION stands beside the shared ids, where both users import it. Behaviour is the same.

--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -14,7 +14,7 @@
 use crate::downstream::exchange::{AcceptedRequest, exchange, notify_engine_of_upload};
 use crate::downstream::health;
 use crate::downstream::request::{RequestHead, check_framing, is_chunked};
-use crate::downstream::request_ids::{Repetition, RequestIds};
+use crate::downstream::request_ids::RequestIds;
 use crate::downstream::responses::{client_error, rejected};
 use crate::engine::EngineHandle;
 use crate::lifecycle::Lifecycle;
@@ -141,8 +141,7 @@
         let head = RequestHead::parse(parts, !body.is_end_stream(), &self.config)?;
         let body = RequestBody::read(body, body_deadline, &self.buffer_budget, observer).await?;
         let buffered_at = Instant::now();
-        let repetition = if head.is_non_idempotent() { Repetition::Forbidden } else { Repetition::Allowed };
-        let claimed_id = self.request_ids.claim(head.client_request_id(), repetition, buffered_at);
+        let claimed_id = self.request_ids.claim(head.client_request_id(), head.idempotency(), buffered_at);
         let claimed_id = claimed_id.ok_or(RequestError::DuplicateRequestId)?;
         let id = self.engine.next_request_id();
         notify_engine_of_upload(&body, id, &self.engine);
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -84,9 +84,9 @@
         })
     }
 
-    /// Returns whether the request must not be executed more than once.
-    pub fn is_non_idempotent(&self) -> bool {
-        self.class.idempotency == Idempotency::NonIdempotent
+    /// Returns whether the request may be executed more than once.
+    pub fn idempotency(&self) -> Idempotency {
+        self.class.idempotency
     }
 
     /// Returns the `Req-Id`.
@@ -109,7 +109,6 @@
     /// Converts the head into the request that is sent to endpoints. `buffered_at` is the time at which the
     /// last byte was received, if the body is buffered.
     pub fn into_upstream_request(self, body: RequestBody, buffered_at: Instant) -> UpstreamRequest {
-        let non_idempotent = self.is_non_idempotent();
         UpstreamRequest {
             method: self.method,
             target: self.target,
@@ -118,7 +117,7 @@
             timeout: self.timeout,
             latency_objective: self.latency_objective,
             buffered_at,
-            non_idempotent,
+            non_idempotent: self.class.idempotency == Idempotency::NonIdempotent,
             begin_by: Cell::new(None),
             client_disconnected: Cell::new(false),
             was_sent: Cell::new(false),
--- a/src/node/downstream/request_ids.rs
+++ b/src/node/downstream/request_ids.rs
@@ -4,35 +4,24 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use std::time::Duration;
 
+use mothspool::Idempotency;
 use tokio::time::Instant;
 
-use crate::state_store::SharedRequestIds;
+use crate::state_store::{REQUEST_ID_RETENTION, SharedRequestIds};
 
 /// Maximum length of a `Req-Id`.
 pub const MAX_REQUEST_ID_BYTES: usize = 128;
 
-/// How long an id is retained after its client left.
-pub const RETENTION: Duration = Duration::from_secs(60);
 /// Memory that a retained id takes at most, in bytes: the text, and its entries in the set and in the queue.
 const RETAINED_ID_BYTES: usize = MAX_REQUEST_ID_BYTES + 128;
 /// Divisor of the node's memory. The quotient is the memory for retained ids.
 const RETAINED_IDS_DIVISOR: usize = 128;
 
-/// Whether the request of an id may be executed more than once.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Repetition {
-    /// It may. Its id is known to this process only.
-    Allowed,
-    /// It must not. Its id is shared with another process of the node.
-    Forbidden,
-}
-
 /// The `Req-Id` of each open request, and the retained ones. Endpoints and logs distinguish requests by it.
 pub struct RequestIds {
-    /// All ids, open and retained.
-    ids: RefCell<HashMap<Rc<str>, Repetition>>,
+    /// All ids, open and retained. Those of non-idempotent requests are shared with other processes.
+    ids: RefCell<HashMap<Rc<str>, Idempotency>>,
     /// The ids of all processes of the node, while they share them.
     shared: RefCell<Option<SharedRequestIds>>,
     /// The retained ids with the end of their retention, the earliest first.
@@ -52,43 +41,46 @@
         }
     }
 
-    /// Shares the ids whose requests must not be repeated with other processes, beginning with those that are
-    /// claimed now. With `None`, releases all shared ids.
-    pub fn share(&self, shared: Option<SharedRequestIds>) {
-        if let Some(shared) = &shared {
-            let ids = self.ids.borrow();
-            let exclusive = ids.iter().filter(|(_, repetition)| **repetition == Repetition::Forbidden);
-            exclusive.for_each(|(id, _)| {
+    /// Shares the ids of non-idempotent requests with other processes, beginning with those that are claimed
+    /// now.
+    pub fn start_sharing(&self, shared: SharedRequestIds) {
+        for (id, idempotency) in &*self.ids.borrow() {
+            if *idempotency == Idempotency::NonIdempotent {
                 shared.claim(id);
-            });
+            }
+        }
+        *self.shared.borrow_mut() = Some(shared);
+    }
+
+    /// Releases all shared ids, and shares no more.
+    pub fn stop_sharing(&self) {
+        if let Some(shared) = self.shared.take() {
+            shared.clear();
         }
-        let shares = shared.is_some();
-        let previous = self.shared.replace(shared);
-        previous.filter(|_| !shares).iter().for_each(SharedRequestIds::clear);
     }
 
     /// Claims an id until the returned claim is dropped. Returns `None` if an open request has the id, or if
     /// it is retained at `now`.
-    pub fn claim(&self, id: &str, repetition: Repetition, now: Instant) -> Option<ClaimedRequestId<'_>> {
+    pub fn claim(&self, id: &str, idempotency: Idempotency, now: Instant) -> Option<ClaimedRequestId<'_>> {
         self.release_expired(now);
-        if self.ids.borrow().contains_key(id) || !self.claim_shared(id, repetition) {
+        if self.ids.borrow().contains_key(id) || !self.claim_shared(id, idempotency) {
             return None;
         }
         let id: Rc<str> = id.into();
-        self.ids.borrow_mut().insert(id.clone(), repetition);
+        self.ids.borrow_mut().insert(id.clone(), idempotency);
         Some(ClaimedRequestId { id, ids: self, retain_until: None })
     }
 
     /// Claims an id among all processes, and returns whether no other one has it.
-    fn claim_shared(&self, id: &str, repetition: Repetition) -> bool {
+    fn claim_shared(&self, id: &str, idempotency: Idempotency) -> bool {
         let shared = self.shared.borrow();
-        repetition == Repetition::Allowed || shared.as_ref().is_none_or(|shared| shared.claim(id))
+        idempotency != Idempotency::NonIdempotent || shared.as_ref().is_none_or(|shared| shared.claim(id))
     }
 
     fn release(&self, id: &str) {
-        let repetition = self.ids.borrow_mut().remove(id);
+        let idempotency = self.ids.borrow_mut().remove(id);
         if let Some(shared) = &*self.shared.borrow()
-            && repetition == Some(Repetition::Forbidden)
+            && idempotency == Some(Idempotency::NonIdempotent)
         {
             shared.release(id);
         }
@@ -122,9 +114,9 @@
 }
 
 impl ClaimedRequestId<'_> {
-    /// Has the id retained when the claim is dropped, for [`RETENTION`] from `now` on.
+    /// Has the id retained when the claim is dropped, for [`REQUEST_ID_RETENTION`] from `now` on.
     pub fn retain(&mut self, now: Instant) {
-        self.retain_until = Some(now + RETENTION);
+        self.retain_until = Some(now + REQUEST_ID_RETENTION);
     }
 }
 
--- a/src/node/downstream/server.rs
+++ b/src/node/downstream/server.rs
@@ -10,7 +10,7 @@
 use crate::downstream::connection::CLIENT_SEND_TIMEOUT;
 use crate::downstream::connections::{ConnectionLimits, ConnectionTable};
 use crate::downstream::handler::RequestHandler;
-use crate::downstream::request_ids::{RETENTION, RequestIds};
+use crate::downstream::request_ids::RequestIds;
 use crate::downstream::service::ConnectionService;
 use crate::engine::EngineHandle;
 use crate::lifecycle::{ClientConnections, Lifecycle};
@@ -113,12 +113,12 @@
         self.connections.set_limits(ConnectionLimits::new(descriptors, self.upstream.max_connections()));
     }
 
-    fn share_request_ids(&self, ids: Option<SharedRequestIds>) {
-        self.request_ids.share(ids);
+    fn start_sharing_request_ids(&self, ids: SharedRequestIds) {
+        self.request_ids.start_sharing(ids);
     }
 
-    fn request_id_retention(&self) -> Duration {
-        RETENTION
+    fn stop_sharing_request_ids(&self) {
+        self.request_ids.stop_sharing();
     }
 
     fn exceeds_limit(&self) -> bool {
--- a/src/node/lifecycle/hot_restart.rs
+++ b/src/node/lifecycle/hot_restart.rs
@@ -20,7 +20,7 @@
 
 use super::{ClientConnections, Lifecycle};
 use crate::log::ErrorChain;
-use crate::state_store::{POLL_INTERVAL, StateStore};
+use crate::state_store::{POLL_INTERVAL, REQUEST_ID_RETENTION, StateStore};
 
 /// How long a process waits until its connections are within the limit before it releases descriptors anyway.
 /// It is longer than the time for which a new connection without a request has to stay open.
@@ -129,12 +129,13 @@
     /// Shares request ids while another process may be running, and then for as long as the ids of that
     /// process have to be known.
     fn update_request_id_sharing(&mut self, now: Instant) {
-        let period = DESCRIPTOR_SHARING_PERIOD + self.connections.request_id_retention();
-        let shares = self.started_within(period, now);
-        if shares != self.shares_request_ids {
-            self.shares_request_ids = shares;
-            self.connections.share_request_ids(shares.then(|| self.store.shared_request_ids()));
+        let shares = self.started_within(DESCRIPTOR_SHARING_PERIOD + REQUEST_ID_RETENTION, now);
+        match (self.shares_request_ids, shares) {
+            (false, true) => self.connections.start_sharing_request_ids(self.store.shared_request_ids()),
+            (true, false) => self.connections.stop_sharing_request_ids(),
+            (false, false) | (true, true) => {}
         }
+        self.shares_request_ids = shares;
     }
 
     /// Returns whether a successor waits for descriptors, and this process is within its limit or
--- a/src/node/lifecycle/mod.rs
+++ b/src/node/lifecycle/mod.rs
@@ -8,7 +8,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -57,12 +56,11 @@
     /// true, and to all of them otherwise. Connections above the limit are closed as soon as they are idle.
     fn set_hot_restart_limits(&self, active: bool);
 
-    /// Shares the ids of open requests that must not be executed twice with the other processes of the node,
-    /// or no longer shares them if `ids` is `None`.
-    fn share_request_ids(&self, ids: Option<SharedRequestIds>);
+    /// Shares the ids of requests that must not be executed twice with the other processes of the node.
+    fn start_sharing_request_ids(&self, ids: SharedRequestIds);
 
-    /// Returns how long an id may have to be known after its request.
-    fn request_id_retention(&self) -> Duration;
+    /// Releases all shared ids, and shares no more.
+    fn stop_sharing_request_ids(&self);
 
     /// Returns whether there are more downstream connections than the limit. Those that are closing count.
     fn exceeds_limit(&self) -> bool;
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -19,7 +19,7 @@
 
 pub use admin_state::AdminState;
 pub use error::StateError;
-pub use shared_request_ids::SharedRequestIds;
+pub use shared_request_ids::{REQUEST_ID_RETENTION, SharedRequestIds};
 
 use crate::log::ErrorChain;
 
--- a/src/node/state_store/shared_request_ids.rs
+++ b/src/node/state_store/shared_request_ids.rs
@@ -6,9 +6,13 @@
 use std::fs::{self, File};
 use std::io;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_128;
 
+/// How long the id of a non-idempotent request that may have been executed is retained after its client left.
+pub const REQUEST_ID_RETENTION: Duration = Duration::from_secs(60);
+
 /// The request ids that all processes of a node have claimed since they began to share them.
 pub struct SharedRequestIds {
     /// Exists once an id has been claimed.
--- a/tests/unit/hot_restart.rs
+++ b/tests/unit/hot_restart.rs
@@ -13,20 +13,17 @@
     shares_request_ids: Cell<bool>,
 }
 
-/// How long the stand-in has to know ids.
-const REQUEST_ID_RETENTION: Duration = Duration::from_secs(30);
-
 impl ClientConnections for FakeConnections {
     fn set_hot_restart_limits(&self, active: bool) {
         self.shared.set(active);
     }
 
-    fn share_request_ids(&self, ids: Option<SharedRequestIds>) {
-        self.shares_request_ids.set(ids.is_some());
+    fn start_sharing_request_ids(&self, _: SharedRequestIds) {
+        self.shares_request_ids.set(true);
     }
 
-    fn request_id_retention(&self) -> Duration {
-        REQUEST_ID_RETENTION
+    fn stop_sharing_request_ids(&self) {
+        self.shares_request_ids.set(false);
     }
 
     fn exceeds_limit(&self) -> bool {
