Discard clients' input in one place, and look for it only where it may be

Cause: input behind a waiting request and input after the last response were discarded by two loops with the same bounds. The size of the receive buffer was asked of the kernel for each request, though hardly any needs it. Two waits of an exchange that never end, each for one kind of body, stood beside each other, and so did two checks whether a body can be buffered.

Change: InputDiscard serves both loops, over poll_discard, which mirrors the loop for writes. The buffer's size is read with the check itself. follow_input has one branch for each kind of body. reserve uses is_too_large_to_buffer. Behaviour is the same.

--- a/src/node/body/budget.rs
+++ b/src/node/body/budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, SizeHint};
+use hyper::body::SizeHint;
 
 use crate::config::max_buffered_bytes;
 
@@ -14,9 +14,9 @@
 /// Maximum size of the pieces in which the buffered part of a larger body is passed on, in bytes.
 const MAX_PIECE_BYTES: usize = 8 << 10;
 
-/// Returns whether a body states a length that is too large to be buffered.
-pub fn is_too_large_to_buffer(body: &impl Body) -> bool {
-    body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64
+/// Returns whether a body of this size is known to be too large to be buffered.
+pub fn is_too_large_to_buffer(size: &SizeHint) -> bool {
+    size.lower() > MAX_BUFFERED_BODY_BYTES as u64
 }
 
 /// Memory budget for the buffered bodies of all requests and responses.
@@ -35,13 +35,10 @@
     /// [`MAX_BUFFERED_BODY_BYTES`]. Returns `None` if the body is known to be too large to be buffered, or if
     /// too little memory is available.
     pub fn reserve(self: &Rc<BufferBudget>, size: &SizeHint) -> Option<BufferReservation> {
-        let bytes = match size.exact() {
-            Some(length) => usize::try_from(length).ok()?,
-            None => MAX_BUFFERED_BODY_BYTES,
-        };
-        if bytes > MAX_BUFFERED_BODY_BYTES {
+        if is_too_large_to_buffer(size) {
             return None;
         }
+        let bytes = size.exact().map_or(MAX_BUFFERED_BODY_BYTES, |length| length as usize);
         self.available.set(self.available.get().checked_sub(bytes)?);
         Some(BufferReservation { budget: self.clone(), bytes })
     }
--- a/src/node/downstream/connection.rs
+++ b/src/node/downstream/connection.rs
@@ -25,8 +25,7 @@
 /// for closing it is. The next request may already be on its way.
 const MIN_IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(100);
 
-/// Time between the end of a response and the next request below which the request counts as sent before the
-/// response was received.
+/// Minimum time from the end of a response to a request that its client sends once it has the response.
 const MIN_REQUEST_GAP: Duration = Duration::from_micros(200);
 
 /// The state of a connection, shared by its own task, the connection table and the periodic sweeps.
@@ -98,8 +97,8 @@
         self.idle_since.set(Some(Instant::now()));
     }
 
-    /// Returns whether the client has sent a request at once behind the previous one, as an idle connection
-    /// waits for at least [`MIN_REQUEST_GAP`] between two requests.
+    /// Returns whether the last response ended so recently that a request which begins now was sent before
+    /// its client received that response.
     pub fn has_just_been_used(&self) -> bool {
         !self.is_first_request_pending()
             && self.idle_since.get().is_some_and(|since| since.elapsed() < MIN_REQUEST_GAP)
--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -64,9 +64,8 @@
         biased;
         answer = answer => answer,
         error = wait_for_upload_failure(&body) => return Err(error.into()),
-        never = track_reception(&body) => match never {},
         () = observer.closed() => return Err(RequestError::ClientDisconnected),
-        never = discard_excess_input(&body, observer) => match never {},
+        never = follow_input(&body, observer) => match never {},
         () = lifecycle.wait_for_shutdown_deadline() => {
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
         }
@@ -83,21 +82,16 @@
     }
 }
 
-/// Tracks when the last byte of a streamed body is received.
-async fn track_reception(body: &RequestBody) -> Infallible {
+/// Follows what a client sends while its request waits. Tracks when the last byte of a streamed body is
+/// received. Discards what follows a request that was read whole, once it may hide the client's close.
+async fn follow_input(body: &RequestBody, observer: &SocketObserver) -> Infallible {
     match body {
         RequestBody::Streamed(stream) => stream.track_reception().await,
-        RequestBody::Buffered { .. } => std::future::pending().await,
-    }
-}
-
-/// Discards what a client sends behind a complete request, once it may hide the client's close. What follows
-/// a streamed request is not read before the request itself.
-async fn discard_excess_input(body: &RequestBody, observer: &SocketObserver) -> Infallible {
-    if let RequestBody::Buffered { .. } = body {
-        observer.discard_excess_input().await;
+        RequestBody::Buffered { .. } => {
+            observer.discard_excess_input().await;
+            std::future::pending().await
+        }
     }
-    std::future::pending().await
 }
 
 /// Converts a final answer of the engine into a response.
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -1,7 +1,7 @@
 //! The socket of a client's connection, with an observer of what hyper reads from it and writes to it.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -22,10 +22,11 @@
 /// the connection is closed. Closing a socket with unread bytes resets the connection, and the reset may
 /// discard the response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum number of bytes that are read from the client and discarded during that time.
-const MAX_LINGER_BYTES: usize = 32 << 20;
+/// Maximum number of bytes that are read from a client and discarded, behind a request or after the last
+/// response.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
 /// Size of the buffer for these reads, in bytes.
-const LINGER_BUFFER_BYTES: usize = 16 << 10;
+const DISCARD_BUFFER_BYTES: usize = 16 << 10;
 /// Divisor of the kernel's receive buffer. Behind more unread bytes than the quotient, a client's close may
 /// not be received: the kernel keeps half of the buffer for its bookkeeping, and more if the bytes came in
 /// small pieces.
@@ -80,7 +81,6 @@
     /// bytes before it, and does not receive more than its buffer takes.
     pub async fn discard_excess_input(&self) {
         let stream = self.stream.as_ref();
-        let limit = SockRef::from(stream).recv_buffer_size().unwrap_or(0) / UNREAD_INPUT_DIVISOR;
         loop {
             // Nothing is unread behind most requests, so that this waits for as long as they do.
             if stream.readable().await.is_err() {
@@ -88,29 +88,35 @@
             }
             // Requests that are answered sooner are served with all that follows them.
             sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
-            if self.has_unread_data() && has_unread_bytes(stream, limit.max(1)) {
+            if self.has_excess_input() {
                 break;
             }
         }
         self.has_discarded_input.set(true);
-        self.linger();
-        let mut remaining_bytes = MAX_LINGER_BYTES;
-        while remaining_bytes > 0 && stream.readable().await.is_ok() {
-            match self.discard_available_input() {
-                Ok(0) => return,
-                Ok(bytes) => remaining_bytes = remaining_bytes.saturating_sub(bytes),
+        let mut discard = InputDiscard::new();
+        poll_fn(|cx| discard.poll(cx, self)).await;
+    }
+
+    /// Returns whether so much is unread that the client's close may not be received behind it.
+    fn has_excess_input(&self) -> bool {
+        let stream = self.stream.as_ref();
+        let limit = SockRef::from(stream).recv_buffer_size().unwrap_or(0) / UNREAD_INPUT_DIVISOR;
+        has_unread_bytes(stream, limit.max(1))
+    }
+
+    /// Reads and discards some of what the client has sent, and returns the number of bytes. The buffer is on
+    /// the stack, so that nobody who waits holds it.
+    fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let stream = self.stream.as_ref();
+        loop {
+            ready!(stream.poll_read_ready(cx))?;
+            match stream.try_read(&mut [0; DISCARD_BUFFER_BYTES]) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                read => return Poll::Ready(read),
             }
         }
     }
 
-    /// Reads and discards bytes that the kernel has received, and returns their number. The buffer is on the
-    /// stack, so that a waiting request does not hold it.
-    fn discard_available_input(&self) -> io::Result<usize> {
-        self.stream.as_ref().try_read(&mut [0; LINGER_BUFFER_BYTES])
-    }
-
     /// Returns whether bytes of the client were discarded, so that no further request can be read.
     pub fn has_discarded_input(&self) -> bool {
         self.has_discarded_input.get()
@@ -185,34 +191,46 @@
     }
 }
 
-/// Reads and discards what a client still sends after the last response to it.
+/// Reads and discards what a client sends.
+struct InputDiscard {
+    remaining_bytes: usize,
+}
+
+impl InputDiscard {
+    fn new() -> InputDiscard {
+        InputDiscard { remaining_bytes: MAX_DISCARDED_BYTES }
+    }
+
+    /// Reads and discards data until the client has closed its side. After [`MAX_DISCARDED_BYTES`] it reads
+    /// nothing more and never completes.
+    fn poll(&mut self, cx: &mut Context<'_>, observer: &SocketObserver) -> Poll<()> {
+        while self.remaining_bytes > 0 {
+            match ready!(observer.poll_discard(cx)) {
+                Ok(bytes) if bytes > 0 => self.remaining_bytes = self.remaining_bytes.saturating_sub(bytes),
+                _ => return Poll::Ready(()),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+/// Discards what a client still sends after the last response to it.
 struct Lingering {
     timer: Pin<Box<Sleep>>,
-    remaining_bytes: usize,
+    discard: InputDiscard,
 }
 
 impl Lingering {
     fn new() -> Lingering {
-        Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT)), remaining_bytes: MAX_LINGER_BYTES }
+        Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT)), discard: InputDiscard::new() }
     }
 
-    /// Reads and discards data until the client has closed its side or [`LINGER_TIMEOUT`] has passed. After
-    /// [`MAX_LINGER_BYTES`] it reads nothing more and only waits for the timeout.
-    fn poll(&mut self, cx: &mut Context<'_>, reader: &mut OwnedReadHalf) -> Poll<()> {
-        while self.timer.as_mut().poll(cx).is_pending() {
-            if self.remaining_bytes == 0 {
-                return Poll::Pending;
-            }
-            let mut space = [0; LINGER_BUFFER_BYTES];
-            let mut buf = ReadBuf::new(&mut space);
-            let read = ready!(Pin::new(&mut *reader).poll_read(cx, &mut buf));
-            let bytes = buf.filled().len();
-            if read.is_err() || bytes == 0 {
-                break;
-            }
-            self.remaining_bytes = self.remaining_bytes.saturating_sub(bytes);
+    /// Discards data until the client has closed its side or [`LINGER_TIMEOUT`] has passed.
+    fn poll(&mut self, cx: &mut Context<'_>, observer: &SocketObserver) -> Poll<()> {
+        if self.timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
         }
-        Poll::Ready(())
+        self.discard.poll(cx, observer)
     }
 }
 
@@ -278,7 +296,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let DownstreamSocket { reader, observer, lingering } = self.get_mut();
+        let DownstreamSocket { observer, lingering, .. } = self.get_mut();
         if lingering.is_none() {
             observer.shut_down_write()?;
             if !observer.should_linger.get() {
@@ -286,6 +304,6 @@
             }
         }
         let lingering = lingering.get_or_insert_with(Lingering::new);
-        lingering.poll(cx, reader).map(Ok)
+        lingering.poll(cx, observer).map(Ok)
     }
 }
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use mothspool::{EndpointId, Outcome};
@@ -202,7 +202,8 @@
     ) -> Result<AttemptOutcome, Outcome> {
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
-        self.awaits_large_body.set(head.status == StatusCode::OK && is_too_large_to_buffer(&body));
+        self.awaits_large_body
+            .set(head.status == StatusCode::OK && is_too_large_to_buffer(&body.size_hint()));
         let early_streaming = self.request.early_streaming(Instant::now());
         let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), early_streaming)
             .await
