--- a/tests/node/client_disconnects.rs
+++ b/tests/node/client_disconnects.rs
@@ -48,8 +48,7 @@
 /// kernel's receive buffer holds, so that its FIN could not be received.
 #[test]
 fn a_client_that_disconnects_behind_much_unread_data_is_noticed() {
-    let listener = bind_listener();
-    let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+    let (node, listener) = start_node_with_listener();
     Watch::accept(&node.discovery).keep_alive();
     let open_requests = start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
     let before = node.open_descriptors();
@@ -96,8 +95,7 @@
 
 #[test]
 fn a_queued_request_is_dropped_when_its_client_disconnects() {
-    let listener = bind_listener();
-    let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+    let (node, listener) = start_node_with_listener();
     Watch::accept(&node.discovery).keep_alive();
     let mut open_requests = start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
     let before = node.open_descriptors();
@@ -136,8 +134,7 @@
 #[test]
 fn an_unread_body_of_a_disconnected_client_is_not_sent_completely() {
     for chunked in [false, true] {
-        let listener = bind_listener();
-        let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+        let (node, listener) = start_node_with_listener();
         Watch::accept(&node.discovery).keep_alive();
         let mut open_requests =
             start_open_requests(&node, slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
@@ -331,8 +328,7 @@
 
 #[test]
 fn trailing_bytes_do_not_hide_a_disconnect() {
-    let listener = bind_listener();
-    let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+    let (node, listener) = start_node_with_listener();
     for kind in ALL_DISCONNECTS {
         for (_, bytes) in trailing_bytes() {
             let mut client = node.client();
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -1,7 +1,6 @@
 //! Deadlines of requests.
 
 use std::io::Read;
-use std::net::TcpListener;
 use std::time::{Duration, Instant};
 use std::{slice, thread};
 
@@ -36,11 +35,8 @@
 /// Returns an order with a body of `length` bytes, too long to buffer, in both framings.
 fn large_orders(deadline: Duration, length: usize) -> [Vec<u8>; 2] {
     let body = random_bytes(length);
-    let head = |framing: &str| {
-        let deadline = deadline.as_secs_f64().to_string();
-        let text = String::from_utf8(request("GET", "/order/1", &deadline, framing, "")).unwrap();
-        text.replacen("GET", "POST", 1).into_bytes()
-    };
+    let deadline = deadline.as_secs_f64().to_string();
+    let head = |framing: &str| request_head_with_deadline("POST", "/order/1", &deadline, framing);
     let chunks: Vec<u8> = body.chunks(20_000).flat_map(chunk).collect();
     [
         [head(&format!("Content-Length: {length}\r\n")), body].concat(),
@@ -48,13 +44,6 @@
     ]
 }
 
-/// Returns a node and the listener of its only endpoint.
-fn start_node_with_listener() -> (Node, TcpListener) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let node = Node::start(&[endpoint_entry("a", listener.local_addr().unwrap(), 1, "ready")]);
-    (node, listener)
-}
-
 /// Guards against large requests whose time begins anew when an endpoint takes them from the queue, as the
 /// node reads their last bytes only then.
 #[test]
--- a/tests/node/memory_limits.rs
+++ b/tests/node/memory_limits.rs
@@ -48,22 +48,7 @@
         .map(|(n, listener)| endpoint_entry(&format!("s{n}"), listener.local_addr().unwrap(), 1, "ready"))
         .collect();
     let node = Node::with_config(&endpoints, |config| config["limits"]["memory_mb"] = MEMORY_MIB.into());
-    let body = random_bytes(400_000);
-    let clients: Vec<Connection> = (0..600)
-        .map(|n| {
-            let mut client = node.client();
-            client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
-            match n % 2 {
-                0 => client.send(&request_head("POST", "/order/1", "Content-Length: 4000000\r\n")),
-                _ => {
-                    client.send(&request_head("POST", "/order/1", "Transfer-Encoding: chunked\r\n"));
-                    client.send(b"3D0900\r\n");
-                }
-            }
-            client.send(&body);
-            client
-        })
-        .collect();
+    let clients = start_uploads(&node, "", 4_000_000, &random_bytes(400_000));
     assert_eq!(node.health(), 200);
     let memory = settled_peak_memory(&node);
     assert!(memory < MEMORY_MIB << 20, "{memory} bytes for {} uploads", clients.len());
@@ -80,29 +65,31 @@
         config["limits"]["memory_mb"] = MEMORY_MIB.into();
     });
     let fields: String = (0..FIELDS).map(|number| format!("a{number}:\r\n")).collect();
-    let body = random_bytes(64_000);
-    let clients: Vec<Connection> = (0..600)
+    let clients = start_uploads(&node, &fields, 65_000, &random_bytes(64_000));
+    let memory = settled_peak_memory(&node);
+    assert!(memory < MEMORY_MIB << 20, "{memory} bytes for {} heads of {FIELDS} fields", clients.len());
+}
+
+/// Starts 600 uploads of `length` bytes, half of them chunked, and sends as much of `part` as the node
+/// accepts at once. Returns their clients.
+fn start_uploads(node: &Node, extra_headers: &str, length: usize, part: &[u8]) -> Vec<Connection> {
+    let with_length = format!("{extra_headers}Content-Length: {length}\r\n");
+    let chunked = format!("{extra_headers}Transfer-Encoding: chunked\r\n");
+    (0..600)
         .map(|n| {
             let mut client = node.client();
             client.stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
             match n % 2 {
-                0 => client.send(&request_head(
-                    "POST",
-                    "/order/1",
-                    &format!("{fields}Content-Length: 65000\r\n"),
-                )),
+                0 => client.send(&request_head("POST", "/order/1", &with_length)),
                 _ => {
-                    let framing = format!("{fields}Transfer-Encoding: chunked\r\n");
-                    client.send(&request_head("POST", "/order/1", &framing));
-                    client.send(b"FDE8\r\n");
+                    client.send(&request_head("POST", "/order/1", &chunked));
+                    client.send(format!("{length:X}\r\n").as_bytes());
                 }
             }
-            client.send(&body);
+            client.send(part);
             client
         })
-        .collect();
-    let memory = settled_peak_memory(&node);
-    assert!(memory < MEMORY_MIB << 20, "{memory} bytes for {} heads of {FIELDS} fields", clients.len());
+        .collect()
 }
 
 /// Waits until the peak memory of the node no longer grows, and returns it in bytes.
--- a/tests/node/request_validation.rs
+++ b/tests/node/request_validation.rs
@@ -1,7 +1,6 @@
 //! Validation of requests: invalid ones get a client error and are not forwarded.
 
 use std::io::Write;
-use std::net::TcpListener;
 
 use crate::support::*;
 
@@ -128,21 +127,20 @@
 fn rejects_the_request_id_of_an_order_whose_client_left() {
     let upstream = ScriptedEndpoint::new(|_, _| Reply::Never);
     let node = Node::start(&[ready_endpoint("a", &upstream)]);
-    let order = |id: &str| request_with_id(id, "POST", "/order/1", "14", "", "xyz");
+    let order = request_with_id("9b1f03aa5c7e2d42", "POST", "/order/1", "14", "", "xyz");
     let mut client = node.client();
-    client.send(&order("9b1f03aa5c7e2d42"));
+    client.send(&order);
     let (connection, _) = upstream.next_request();
     drop(client);
     assert_eq!(upstream.next_closed_connection(), connection);
-    assert_eq!(node.client().exchange(&order("9b1f03aa5c7e2d42")).status(), 409);
+    assert_eq!(node.client().exchange(&order).status(), 409);
     assert_eq!(upstream.request_count(), 1);
 }
 
 /// An order that no endpoint can have executed may come again after its client has left.
 #[test]
 fn accepts_the_request_id_of_an_order_that_was_not_sent() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let node = Node::start(&[endpoint_entry("a", listener.local_addr().unwrap(), 1, "ready")]);
+    let (node, listener) = start_node_with_listener();
     Watch::accept(&node.discovery).keep_alive();
     let _open = start_open_requests(&node, std::slice::from_ref(&listener), INITIAL_CONCURRENCY_LIMIT);
     let order = |deadline: &str| request_with_id("9b1f03aa5c7e2d43", "POST", "/order/1", deadline, "", "xyz");
--- a/tests/node/slow_peers.rs
+++ b/tests/node/slow_peers.rs
@@ -235,8 +235,7 @@
         ScriptedEndpoint::new(|_, request| Reply::Send(response(200, "", &request.body.len().to_string())));
     let node = Node::start(&[ready_endpoint("a", &upstream)]);
     let mut client = node.client();
-    let get = request("GET", "/order/1", "0.5", "Transfer-Encoding: chunked\r\n", "");
-    client.send(String::from_utf8(get).unwrap().replacen("GET", "POST", 1).as_bytes());
+    client.send(&request_head_with_deadline("POST", "/order/1", "0.5", "Transfer-Encoding: chunked\r\n"));
     for _ in 0..PIECES {
         client.send(&chunk(&[b'x'; PIECE_BYTES]));
         thread::sleep(PIECE_INTERVAL);
--- a/tests/support/connections.rs
+++ b/tests/support/connections.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Returns a node and the listener of its only endpoint.
+pub fn start_node_with_listener() -> (Node, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&[listening_endpoint("a", &listener, "ready")]);
+    (node, listener)
+}
+
 /// Concurrency limit of an endpoint at a node that has just started. Further requests are queued.
 pub const INITIAL_CONCURRENCY_LIMIT: usize = 2;
 
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -63,6 +63,12 @@
 
 /// Returns the head of a request, without a `Content-Length` except as part of `extra_headers`.
 pub fn request_head(method: &str, path: &str, extra_headers: &str) -> Vec<u8> {
-    let text = String::from_utf8(request("GET", path, "14.0", extra_headers, "")).unwrap();
+    request_head_with_deadline(method, path, "14.0", extra_headers)
+}
+
+/// Returns the head of a request with this deadline, without a `Content-Length` except as part of
+/// `extra_headers`.
+pub fn request_head_with_deadline(method: &str, path: &str, deadline: &str, extra_headers: &str) -> Vec<u8> {
+    let text = String::from_utf8(request("GET", path, deadline, extra_headers, "")).unwrap();
     text.replacen("GET", method, 1).into_bytes()
 }
