Log requests, attempts, closes and state changes with tracing

Events of requests now carry the Req-Id, the endpoint and the reason; what the node itself ends, and final answers 502 and 504, are logged at the default level, everything else with GW_LOG=debug. Existing lines keep their text.

--- a/src/node/admin/service.rs
+++ b/src/node/admin/service.rs
@@ -53,7 +53,10 @@
     /// Changes the state, and returns once all processes have had time to apply it.
     async fn update(&self, change: impl FnOnce(&mut AdminState)) -> Result<(), CommandError> {
         if let Err(error) = self.store.update(change).await {
-            log!("admin command not executed, standby and maintenance are unchanged: {}", ErrorChain(&error));
+            tracing::warn!(
+                "admin command not executed, standby and maintenance are unchanged: {}",
+                ErrorChain(&error)
+            );
             return Err(CommandError::StateNotWritten(error));
         }
         sleep(PROPAGATION_DELAY).await;
--- a/src/node/admin/state_applier.rs
+++ b/src/node/admin/state_applier.rs
@@ -24,6 +24,11 @@
 
 impl StateObserver for StateApplier {
     fn on_state_change(&self, previous: &AdminState, current: &AdminState) {
+        tracing::info!(
+            standby = current.standby,
+            in_maintenance = current.maintenance.len(),
+            "operators' state applied"
+        );
         self.lifecycle.set_standby(current.standby);
         for (uid, exited_at) in &current.exited_at {
             if previous.exited_at.get(uid) != Some(exited_at) {
--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -17,6 +17,7 @@
 use crate::body::early_streaming::EarlyStreaming;
 use crate::body::incoming::{IncomingBody, ReceiveError};
 use crate::body::outbound::take_frame;
+use crate::log::ErrorChain;
 
 /// Maximum time that an endpoint may pause within a response that is buffered, or that may still be small.
 pub const SMALL_RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
@@ -121,7 +122,11 @@
             Ok(Some(_)) if self.is_end_stream() => self.end(TransferEnd::Complete),
             Ok(Some(_)) => {}
             Ok(None) => self.end(TransferEnd::Complete),
-            Err(_) => self.end(TransferEnd::Broken),
+            Err(error) => {
+                let received = self.rest.received();
+                tracing::info!(received, error = %ErrorChain(error), "response cut off");
+                self.end(TransferEnd::Broken);
+            }
         }
         Poll::Ready(received.transpose())
     }
--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -101,6 +101,12 @@
 
     /// Passes an endpoint list to the engine.
     fn publish(&mut self, list: &EndpointList, kind: ListKind) {
+        tracing::debug!(
+            revision = list.revision,
+            entries = list.entries.len(),
+            ?kind,
+            "endpoint list applied"
+        );
         let endpoints = list.entries.iter().map(|entry| self.converter.convert(entry)).collect();
         self.engine.update_endpoints(kind, endpoints);
     }
@@ -109,7 +115,11 @@
     /// has changed: further lines during a long outage would add no information.
     fn record_failure(&mut self, error: &WatchError) {
         if self.backoff.record_failure() {
-            log!("discovery watch failed: {}; retrying from revision {}", ErrorChain(error), self.revision);
+            tracing::warn!(
+                "discovery watch failed: {}; retrying from revision {}",
+                ErrorChain(error),
+                self.revision
+            );
         }
     }
 }
--- a/src/node/downstream/connections.rs
+++ b/src/node/downstream/connections.rs
@@ -158,6 +158,7 @@
     /// Asks a connection to close once it is idle.
     pub fn close(&self, connection: &Connection) {
         if !connection.set_closing(true) {
+            tracing::debug!("client connection asked to close once it is idle");
             self.closing.set(self.closing.get() + 1);
         }
         connection.request_close();
--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -67,6 +67,10 @@
         () = observer.closed() => return Err(RequestError::ClientDisconnected),
         never = follow_input(&body, observer) => match never {},
         () = lifecycle.wait_for_shutdown_deadline() => {
+            tracing::info!(
+                request = %disconnect_guard.upstream_request.client_request_id,
+                "request failed: the shutdown deadline has passed"
+            );
             return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
         }
     };
--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -83,7 +83,10 @@
         } else {
             self.forward(request, observer, body_deadline).await
         };
-        reply.unwrap_or_else(|error| Reply::client_error(&error))
+        reply.unwrap_or_else(|error| {
+            tracing::debug!(status = error.status().as_u16(), %error, "request invalid or abandoned");
+            Reply::client_error(&error)
+        })
     }
 
     fn health_reply(
@@ -111,9 +114,17 @@
         let upstream_request = accepted.upstream_request.clone();
         let response = if self.lifecycle.is_past_shutdown_deadline() {
             // There is no `Retry-After`: other nodes can accept the request immediately.
+            tracing::debug!(
+                request = %upstream_request.client_request_id,
+                "request rejected: the shutdown deadline has passed"
+            );
             rejected(None)
         } else if self.connections.exceeds_served_limit() {
             // While all connections are in use, a rejection frees a connection and needs no endpoint.
+            tracing::debug!(
+                request = %upstream_request.client_request_id,
+                "request rejected: too many requests are open"
+            );
             rejected(Some(OVERLOAD_RETRY_AFTER))
         } else {
             exchange(accepted, observer, &self.engine, &self.lifecycle).await?
--- a/src/node/downstream/listener.rs
+++ b/src/node/downstream/listener.rs
@@ -66,7 +66,7 @@
     /// Logs that no connection has been accepted for [`FULL_TABLE_LOG_DELAY`].
     fn log_full_table(&self) {
         let usage = self.connections().usage();
-        log!("{} accepts no more connections from clients: {usage}", self.node_name());
+        tracing::warn!("{} accepts no more connections from clients: {usage}", self.node_name());
     }
 
     /// Serves a new connection in a task of its own.
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -110,6 +110,7 @@
     /// last byte was received, if the body is buffered.
     pub fn into_upstream_request(self, body: RequestBody, buffered_at: Instant) -> UpstreamRequest {
         UpstreamRequest {
+            client_request_id: self.client_request_id,
             method: self.method,
             target: self.target,
             headers: self.headers,
--- a/src/node/downstream/service.rs
+++ b/src/node/downstream/service.rs
@@ -58,6 +58,7 @@
                 _ = serving.as_mut() => return,
                 () = connection.abort_requested() => {
                     if connection.is_stuck() {
+                        tracing::debug!("client connection aborted: it is stuck");
                         return;
                     }
                 }
--- a/src/node/engine/actions.rs
+++ b/src/node/engine/actions.rs
@@ -30,6 +30,12 @@
         let sent_at = self.clock.now();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let upstream_request = request.upstream_request.clone();
+        tracing::debug!(
+            request = %upstream_request.client_request_id,
+            attempt = request.next_attempt_number(),
+            endpoint,
+            "attempt started"
+        );
         upstream_request.begin_by.set(begin_by.map(|time| self.clock.instant(time)));
         let attempt = AttemptId { request: id, number: request.next_attempt_number() };
         let may_send = !request.is_answered();
@@ -48,12 +54,28 @@
 
     fn reject(&mut self, id: RequestId, retry_after: Duration) {
         let retry_after = (!retry_after.is_zero()).then_some(retry_after);
+        if let Some(request) = self.requests.get(&id) {
+            tracing::debug!(
+                request = %request.upstream_request.client_request_id,
+                attempts = request.next_attempt_number(),
+                ?retry_after,
+                "request rejected"
+            );
+        }
         self.answer(id, FinalAnswer::Rejected { retry_after });
     }
 
     fn fail(&mut self, id: RequestId) {
         let timed_out = |request: &ActiveRequest| request.has_timed_out || request.has_running_attempt();
         let timed_out = self.requests.get(&id).is_some_and(timed_out);
+        if let Some(request) = self.requests.get(&id) {
+            tracing::info!(
+                request = %request.upstream_request.client_request_id,
+                attempts = request.next_attempt_number(),
+                timed_out,
+                "request failed"
+            );
+        }
         self.answer(id, FinalAnswer::Failed { timed_out });
     }
 
--- a/src/node/engine/attempts.rs
+++ b/src/node/engine/attempts.rs
@@ -23,6 +23,11 @@
             return on_end(Outcome::Cancelled);
         }
         attempt.response_started_at = Some(now);
+        tracing::debug!(
+            request = %request.upstream_request.client_request_id,
+            attempt = id.number,
+            "response streaming"
+        );
         self.pending_events.push_back(Event::ResponseStarted(id.request, id.number));
         let response = response.map(|body| body.into_body(on_end));
         self.answer(id.request, FinalAnswer::Served(response));
@@ -52,6 +57,14 @@
         let began_at = attempt.sent_at.max(forwarded_at);
         let elapsed = attempt.response_started_at.unwrap_or(now).saturating_duration_since(began_at);
         request.has_timed_out |= outcome == Outcome::TimedOut;
+        tracing::debug!(
+            request = %request.upstream_request.client_request_id,
+            attempt = id.number,
+            ?outcome,
+            ?elapsed,
+            is_answered = request_finished,
+            "attempt ended"
+        );
         self.pending_events.push_back(Event::AttemptEnded(AttemptResult {
             request: id.request,
             attempt: id.number,
--- a/src/node/engine/handle.rs
+++ b/src/node/engine/handle.rs
@@ -80,7 +80,7 @@
 }
 
 /// Kind of an endpoint list.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ListKind {
     /// All endpoints as they were known before the start; may be out of date.
     Cached,
--- a/src/node/engine/mod.rs
+++ b/src/node/engine/mod.rs
@@ -99,7 +99,12 @@
 
     fn on_client_disconnected(&mut self, id: RequestId) {
         // For the balancer, a request that has its final answer is already finished.
-        if self.requests.get_mut(&id).and_then(ActiveRequest::take_answer_sender).is_some() {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.take_answer_sender().is_some() {
+            tracing::debug!(
+                request = %request.upstream_request.client_request_id,
+                "request withdrawn: the client has left, or the shutdown deadline has passed"
+            );
             self.pending_events.push_back(Event::ClientDisconnected(id));
         }
     }
--- a/src/node/lifecycle/hot_restart.rs
+++ b/src/node/lifecycle/hot_restart.rs
@@ -64,7 +64,7 @@
     ) -> HotRestart<C> {
         let mut start_number = 0;
         if let Err(error) = store.update(|state| start_number = state.register_process()).await {
-            log!(
+            tracing::warn!(
                 "cannot register this process in the state file, so no predecessor releases descriptors to \
                  it: {}",
                 ErrorChain(&error)
--- a/src/node/lifecycle/shutdown.rs
+++ b/src/node/lifecycle/shutdown.rs
@@ -68,7 +68,7 @@
     pub async fn run(mut self) {
         let time_to_deadline = self.longest_deadline.min(REQUEST_DEADLINE_CAP) + SHUTDOWN_MARGIN;
         let deadline = Instant::now() + time_to_deadline;
-        log!(
+        tracing::info!(
             "{}: shutting down gracefully after SIGTERM; requests without a response fail in {:.2} s",
             self.node_name,
             time_to_deadline.as_secs_f64()
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -2,9 +2,6 @@
 //! responses of the endpoints.
 #![deny(unsafe_code)]
 
-#[macro_use]
-mod log;
-
 mod admin;
 mod body;
 mod config;
@@ -12,6 +9,7 @@
 mod downstream;
 mod engine;
 mod lifecycle;
+mod log;
 mod net;
 mod protocol;
 mod reload;
@@ -35,7 +33,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log!("{}", ErrorChain(&error));
+            log::init();
+            tracing::error!("{}", ErrorChain(&error));
             ExitCode::FAILURE
         }
     }
@@ -45,6 +44,7 @@
 fn run() -> Result<(), StartError> {
     // This comes first: a descriptor that is opened earlier could get the number of the inherited one.
     let inherited = inherited_listener::from_environment()?;
+    log::init();
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
     LocalSet::new().block_on(&runtime, serve(inherited))
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -19,7 +19,7 @@
     while sighup.recv().await.is_some() {
         match Config::read(&path) {
             Ok(config) => {
-                log!(
+                tracing::info!(
                     "{path}: configuration reloaded; discovery is now {}, other changes need a restart",
                     config.discovery
                 );
@@ -27,7 +27,7 @@
                     std::mem::replace(address, config.discovery) != config.discovery
                 });
             }
-            Err(error) => log!("configuration not reloaded: {}", ErrorChain(&error)),
+            Err(error) => tracing::warn!("configuration not reloaded: {}", ErrorChain(&error)),
         }
     }
 }
--- a/src/node/startup/mod.rs
+++ b/src/node/startup/mod.rs
@@ -64,7 +64,11 @@
     let shares_listener = inherited.is_some();
     let listeners = Listeners::open(&config, inherited).await?;
     // With an inherited socket, the process accepts connections only once it is ready.
-    log!("{} listens for clients on {}", config.name, local_address("listen", &listeners.downstream)?);
+    tracing::info!(
+        "{} listens for clients on {}",
+        config.name,
+        local_address("listen", &listeners.downstream)?
+    );
     let node = Node::build(config, shares_listener, path, sighup)?;
     if let Some(listener) = listeners.admin {
         node.start_admin(listener)?;
@@ -118,7 +122,11 @@
 
     /// Starts the admin API, and the tasks that depend on the state that it writes.
     fn start_admin(&self, listener: TcpListener) -> Result<(), StartError> {
-        log!("{} serves the admin API on {}", self.config.name, local_address("operator", &listener)?);
+        tracing::info!(
+            "{} serves the admin API on {}",
+            self.config.name,
+            local_address("operator", &listener)?
+        );
         let applier = StateApplier::new(self.lifecycle.clone(), self.engine.clone());
         let store = Rc::new(StateStore::open(&std::env::temp_dir(), &self.config.name, applier));
         if self.shares_listener {
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -132,7 +132,7 @@
     }
 
     fn log_unusable_file(&self, error: &StateError) {
-        log!(
+        tracing::warn!(
             "cannot use state file {}, keeping the last known standby and maintenance state: {}",
             self.path.display(),
             ErrorChain(error)
--- a/src/node/state_store/shared_request_ids.rs
+++ b/src/node/state_store/shared_request_ids.rs
@@ -36,7 +36,10 @@
             Ok(()) => true,
             Err(error) if error.kind() == io::ErrorKind::AlreadyExists => false,
             Err(error) => {
-                log!("cannot share a request id with another process in {}: {error}", self.folder.display());
+                tracing::warn!(
+                    "cannot share a request id with another process in {}: {error}",
+                    self.folder.display()
+                );
                 true
             }
         }
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: a request sent to one endpoint, up to its response or failure.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 
 use hyper::body::{Body, Incoming};
@@ -9,6 +10,7 @@
 use mothspool::{EndpointId, Outcome};
 use tokio::time::{Instant, timeout_at};
 
+use super::connection::Incarnation;
 use super::pool::{ConnectionLease, UpstreamPool};
 use super::request::{UpstreamRequest, head_length};
 use super::response::{ResponseFraming, StreamingResponse, closes_connection, is_rejection};
@@ -42,6 +44,7 @@
             biased;
             result = attempt.run() => result,
             () = request.expired() => {
+                attempt.log_abandoned("the request has expired");
                 Err(if may_be_written.get() { Outcome::TimedOut } else { Outcome::NotSent })
             }
         };
@@ -49,6 +52,18 @@
     }
 }
 
+/// Displays the address of an endpoint.
+struct EndpointAddress(Option<Incarnation>);
+
+impl fmt::Display for EndpointAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(incarnation) => incarnation.address.fmt(f),
+            None => f.write_str("unavailable"),
+        }
+    }
+}
+
 /// Parameters of an attempt, which may use several connections.
 struct Attempt<'a> {
     pool: &'a Rc<UpstreamPool>,
@@ -76,6 +91,17 @@
 }
 
 impl Attempt<'_> {
+    /// Logs that the node itself ends the attempt, which closes its connection.
+    fn log_abandoned(&self, reason: &str) {
+        tracing::info!(
+            request = %self.request.client_request_id,
+            endpoint = %EndpointAddress(self.pool.available_incarnation(self.endpoint)),
+            was_written = self.may_be_written.get(),
+            reason,
+            "attempt abandoned"
+        );
+    }
+
     /// Sends the request on an idle connection or a new one. Tries another connection each time that a reused
     /// one closes before any byte of the request was written to it.
     async fn run(&self) -> Result<AttemptOutcome, Outcome> {
@@ -120,6 +146,12 @@
         let mut http_request = self.request.to_http().ok_or(Outcome::NotSent)?;
         let informational = InformationalCounter::attach(&mut http_request);
         let socket = lease.connection.socket().clone();
+        tracing::debug!(
+            request = %self.request.client_request_id,
+            endpoint = %lease.connection.incarnation().address,
+            is_new_connection = lease.origin.is_new(),
+            "request being written"
+        );
         self.may_be_written.set(true);
         self.request.was_sent.set(true);
         // Data received earlier belongs to a previous response.
@@ -127,7 +159,10 @@
         tokio::select! {
             biased;
             result = self.send_and_read(lease, http_request) => result,
-            () = self.stalled(&socket, &informational) => Err(Outcome::Reset.into()),
+            () = self.stalled(&socket, &informational) => {
+                self.log_abandoned("the response has stalled");
+                Err(Outcome::Reset.into())
+            }
         }
     }
 
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -22,6 +22,8 @@
 
 /// A request as attempts send it to endpoints.
 pub struct UpstreamRequest {
+    /// The client's `Req-Id`, by which the log names the request.
+    pub client_request_id: Box<str>,
     /// Method, as the client sent it.
     pub method: Method,
     /// Path and query, as the client sent them.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod hot_restart;
 mod idle_connections;
 mod large_bodies;
+mod logging;
 mod maintenance;
 mod memory_limits;
 mod rejection;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -163,6 +163,13 @@
         Launch::new(node_command()).start_with_log(endpoints, |_| {}).0
     }
 
+    /// Starts a node that logs at the level `debug`, and returns it with the further lines of its log.
+    pub fn with_debug_log(endpoints: &[Value]) -> (Node, BufReader<ChildStderr>) {
+        let mut command = node_command();
+        command.env("GW_LOG", "debug");
+        Launch::new(command).start_with_log(endpoints, |_| {})
+    }
+
     /// Opens a client connection.
     pub fn client(&self) -> Connection {
         Connection::open(self.address)
