Add failing tests of answers that pause while their endpoints still give them

The tests also cover related paths: stated lengths, a small first lump, a body that begins after the deadline, small answers, rejections with a late body, the shutdown deadline.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -19,6 +19,7 @@
 mod logging;
 mod maintenance;
 mod memory_limits;
+mod paused_responses;
 mod rejection;
 mod reload;
 mod request_validation;
