Never give up an answer that has begun before its client's time is over

Cause: two bounds of the node. While the length of an answer is unknown it was taken for a small one, which was given up after 300 ms without data (response_stalled; 28 closes 300 to 303 ms after the head). And all of it was buffered until a second piece came at 32,000 bytes/s: if the client's time ended in the pause, the balancer gave the final answer itself (3 closes 5 to 6 ms before that time). The same bounds cut off small answers, stated lengths whose body begins after the deadline, and rejections with a late body.

Change: a pause ends no attempt. It makes the attempt count as stalled, and the request is sent again beside it if its class and the settings allow that; the first complete answer wins. An answer that may be large is streamed 25 ms before the client's time is over, whatever has come of it, and the balancer gives no final answer of its own while such an attempt lasts. A streamed answer may pause for 10 s. Only an error is still given up when it stalls.

--- a/src/balancer/attempts.rs
+++ b/src/balancer/attempts.rs
@@ -77,17 +77,27 @@
             self.hedges.record(result.attempt > 0);
         }
         let entry = request.entry;
-        self.record_outcome(&entry, ended, outcome, result.elapsed);
+        // A stalled response that lost to another attempt would otherwise leave no trace.
+        let lost_while_stalled = ended.stalled && outcome == Outcome::Cancelled;
+        let observed = if lost_while_stalled { Outcome::TimedOut } else { outcome };
+        self.record_outcome(&entry, ended, observed, result.elapsed);
         if self.requests[&id].finished {
             self.finish(id);
-        } else if !self.requeue(id) {
+        } else if self.is_overdue(id) || !self.requeue(id) {
             return self.reject_or_fail(id);
         }
         self.dispatch();
     }
 
+    /// Returns whether a request has to get its final answer now. If a response to it has begun, that will be
+    /// the final answer.
+    pub(super) fn is_overdue(&self, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        self.now >= request.answer_deadline && !request.has_begun_response()
+    }
+
     /// Queues a request for a retry unless it is queued or has an attempt in flight. Returns false if it may
-    /// not be sent to any member of its pool or its answer deadline has passed.
+    /// not be sent to any member of its pool.
     fn requeue(&mut self, id: RequestId) -> bool {
         let request = &self.requests[&id];
         if request.is_in_flight() || request.queued {
@@ -95,7 +105,7 @@
         }
         let info = |i: &usize| &self.table.endpoints[*i].info;
         let may_send_to = |i: &usize| may_send(&self.settings, request, info(i), self.now);
-        if !self.members(request.pool).iter().any(may_send_to) || self.now >= request.answer_deadline {
+        if !self.members(request.pool).iter().any(may_send_to) {
             return false;
         }
         self.queues[request.pool].push(request.entry);
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -112,6 +112,8 @@
             Event::ClientDisconnected(id) => self.finish(id),
             Event::BodyForwarded(id) => self.on_body_forwarded(id),
             Event::BodyCompleted(id) => self.on_body_completed(id),
+            Event::ResponseBegan(id, attempt) => self.on_response_began(id, attempt),
+            Event::ResponseStalled(id, attempt) => self.on_response_stalled(id, attempt),
             Event::ResponseStarted(id, attempt) => self.on_response_started(id, attempt),
             Event::AttemptEnded(result) => self.on_attempt_ended(result),
             Event::TimerFired(TimerToken::Discovery) => self.poll_discovery(),
--- a/src/balancer/requests.rs
+++ b/src/balancer/requests.rs
@@ -23,12 +23,23 @@
     /// Whether the endpoint has received the complete request and has not begun to respond. Only then does
     /// the attempt count as load.
     pub(super) executing: bool,
+    /// Whether its response has begun, and is passed on to the client by the deadline at the latest.
+    pub(super) response_began: bool,
+    /// Whether its response has begun to arrive and has paused.
+    pub(super) stalled: bool,
 }
 
 impl Attempt {
     /// Returns an attempt in flight that was sent at `sent_at`.
     pub(super) fn new(endpoint: EndpointInfo, sent_at: Timestamp) -> Attempt {
-        Attempt { endpoint, sent_at, state: AttemptState::InFlight, executing: true }
+        Attempt {
+            endpoint,
+            sent_at,
+            state: AttemptState::InFlight,
+            executing: true,
+            response_began: false,
+            stalled: false,
+        }
     }
 }
 
@@ -87,6 +98,12 @@
         self.in_flight().next().is_some()
     }
 
+    /// Returns whether the response to an attempt in flight has begun, so that it will be the final answer at
+    /// the deadline.
+    pub(super) fn has_begun_response(&self) -> bool {
+        self.in_flight().any(|attempt| attempt.response_began)
+    }
+
     /// Returns its first attempt in flight.
     pub(super) fn first_in_flight(&mut self) -> Option<&mut Attempt> {
         self.attempts.iter_mut().find(|attempt| attempt.state == AttemptState::InFlight)
--- a/src/balancer/selection.rs
+++ b/src/balancer/selection.rs
@@ -65,7 +65,7 @@
             && (eligible_fraction >= 1.0
                 || self.is_probe_pending(i)
                 || unit_hash(request.entry.id, id) <= eligible_fraction)
-            && !request.in_flight().any(|attempt| attempt.endpoint.id == id)
+            && !request.in_flight().any(|attempt| attempt.endpoint.id == id && !attempt.stalled)
             && may_send(&self.settings, request, &endpoint.info, self.now)
     }
 
--- a/src/balancer/streaming.rs
+++ b/src/balancer/streaming.rs
@@ -35,7 +35,29 @@
         }
     }
 
-    /// Records that a response has begun: the endpoint has executed the request. The latency is measured now,
+    /// Records that a response has begun that the node passes on by the client's deadline at the latest.
+    pub(super) fn on_response_began(&mut self, id: RequestId, number: AttemptNumber) {
+        let request = self.requests.get_mut(&id);
+        if let Some(attempt) = request.and_then(|request| request.attempt_in_flight(number)) {
+            attempt.response_began = true;
+        }
+    }
+
+    /// Sends a request again if all of its attempts in flight have stalled. The first complete response wins.
+    pub(super) fn on_response_stalled(&mut self, id: RequestId, number: AttemptNumber) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempt_in_flight(number) else { return };
+        attempt.stalled = true;
+        if request.finished || !request.in_flight().all(|attempt| attempt.stalled) {
+            return;
+        }
+        let pool = request.pool;
+        if let Some(endpoint) = self.select_endpoint(id, pool) {
+            self.send(id, endpoint);
+        }
+    }
+
+    /// Records that a response is being streamed: the endpoint has executed the request. The latency is measured now,
     /// since the rest of the response depends on how fast the client reads.
     pub(super) fn on_response_started(&mut self, id: RequestId, number: AttemptNumber) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/src/node/body/budget.rs
+++ b/src/node/body/budget.rs
@@ -19,6 +19,11 @@
     size.lower() > MAX_BUFFERED_BODY_BYTES as u64
 }
 
+/// Returns whether a body of this size is too large to be buffered, or may be because its length is unknown.
+pub fn may_be_large(size: &SizeHint) -> bool {
+    size.exact().is_none() || is_too_large_to_buffer(size)
+}
+
 /// Memory budget for the buffered bodies of all requests and responses.
 pub struct BufferBudget {
     /// Number of bytes that are not reserved.
--- a/src/node/body/early_streaming.rs
+++ b/src/node/body/early_streaming.rs
@@ -1,39 +1,74 @@
-//! Streaming of responses whose length is unknown before they are known to be large.
+//! The time at which a response that is not complete is streamed to its client.
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::pacing::time_at_minimum_rate;
 
-/// Decides when a response body of unknown length is streamed although all of it so far was buffered.
+/// Decides when a response is streamed although it is not known whether it is large, or although nothing of
+/// its body was received.
 ///
 /// A small response is useful only once it is complete, and one that is buffered can still be dropped and its
 /// request retried. Of a large response the first bytes have to reach the client in time. While the length is
-/// unknown the response may be either. One that is still being received as the client's time runs out is
-/// streamed, unless it is received so slowly that it is probably a small one which never ends.
+/// unknown the response may be either. It is streamed early if it is received at the minimum rate, and in any
+/// case before the client's time is over: the endpoint may still complete it.
 pub struct EarlyStreaming {
-    /// Time from which on the response is streamed.
+    /// Time from which on a response of unknown length is streamed if it keeps to the minimum rate.
     stream_from: Instant,
+    /// Time at which any response is streamed.
+    stream_by: Instant,
+    /// Cancelled when responses have to be streamed at once.
+    stop_buffering: CancellationToken,
     /// Time at which the first piece of the body was received. The rate counts from then on, because a head
     /// may be sent long before the body is ready.
     first_piece_at: Option<Instant>,
+    /// Number of bytes of the body that were received.
+    received: u64,
 }
 
 impl EarlyStreaming {
     /// Creates the state for a response of whose body nothing has been received.
-    pub fn new(stream_from: Instant) -> EarlyStreaming {
-        EarlyStreaming { stream_from, first_piece_at: None }
+    pub fn new(
+        stream_from: Instant,
+        stream_by: Instant,
+        stop_buffering: CancellationToken,
+    ) -> EarlyStreaming {
+        EarlyStreaming { stream_from, stream_by, stop_buffering, first_piece_at: None, received: 0 }
     }
 
     /// Records that a piece of the body was received at `now`, and returns whether the response is streamed
     /// from then on. `received` is the number of bytes of the body so far. The first piece says nothing of
-    /// the rate, so no response is streamed before its second one.
+    /// the rate, so no response is streamed with it.
     pub fn on_piece(&mut self, received: u64, now: Instant) -> bool {
-        let Some(first_piece_at) = self.first_piece_at else {
+        self.received = received;
+        if self.first_piece_at.is_none() {
             self.first_piece_at = Some(now);
             return false;
-        };
-        let keeps_minimum_rate = first_piece_at + time_at_minimum_rate(received) >= now;
-        now >= self.stream_from && keeps_minimum_rate
+        }
+        now >= self.stream_from && self.keeps_minimum_rate(now)
+    }
+
+    /// Waits until the response has to be streamed if no further piece is received.
+    pub async fn due(&self) {
+        tokio::select! {
+            () = self.due_by_time() => {}
+            () = self.stop_buffering.cancelled() => {}
+        }
+    }
+
+    async fn due_by_time(&self) {
+        if Instant::now() < self.stream_from {
+            sleep_until(self.stream_from).await;
+            if self.keeps_minimum_rate(Instant::now()) {
+                return;
+            }
+        }
+        sleep_until(self.stream_by).await;
+    }
+
+    /// Returns whether the body was received at the minimum rate since its first piece.
+    fn keeps_minimum_rate(&self, now: Instant) -> bool {
+        self.first_piece_at.is_some_and(|first| first + time_at_minimum_rate(self.received) >= now)
     }
 }
 
--- a/src/node/body/mod.rs
+++ b/src/node/body/mod.rs
@@ -5,7 +5,7 @@
 //! [`budget`] manages the memory, [`incoming`] counts the bytes that hyper receives and limits their number.
 //! [`request`] reads request bodies, for which [`pacing`] enforces a minimum rate, and [`outbound`] sends
 //! them. [`reception`] estimates when their last byte was received. [`response`] reads and sends response
-//! bodies; [`early_streaming`] decides when one of unknown length is streamed before it is known to be large.
+//! bodies; [`early_streaming`] decides when one is streamed that is not complete and not known to be large.
 
 mod budget;
 mod early_streaming;
@@ -17,11 +17,9 @@
 mod request;
 mod response;
 
-pub use budget::{BufferBudget, is_too_large_to_buffer};
+pub use budget::{BufferBudget, is_too_large_to_buffer, may_be_large};
 pub use early_streaming::EarlyStreaming;
 pub use error::BodyError;
 pub use outbound::OutboundBody;
 pub use request::{CompleteUpload, RequestBody, UploadProgress};
-pub use response::{
-    ResponseBody, ResponsePrefix, SMALL_RESPONSE_STALL_TIMEOUT, StreamingResponseBody, TransferEnd,
-};
+pub use response::{ResponseBody, ResponsePrefix, StreamingResponseBody, TransferEnd};
--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -9,21 +9,20 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::body::budget::{
-    BodyBuffer, BufferBudget, BufferReservation, BufferedPrefix, MAX_BUFFERED_BODY_BYTES,
+    BodyBuffer, BufferBudget, BufferReservation, BufferedPrefix, MAX_BUFFERED_BODY_BYTES, may_be_large,
 };
 use crate::body::early_streaming::EarlyStreaming;
 use crate::body::incoming::{IncomingBody, ReceiveError};
 use crate::body::outbound::take_frame;
+use crate::body::pacing::time_at_minimum_rate;
 use crate::log::ErrorChain;
 
-/// Maximum time that an endpoint may pause within a response that is buffered, or that may still be small.
-pub const SMALL_RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum time that an endpoint may pause within a large response that is already being streamed to its
-/// client. It is long because aborting such a response benefits only the next request in the queue.
-const LARGE_RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time that an endpoint may pause within a response that is being streamed to its client. It is long
+/// because aborting such a response benefits only the next request in the queue.
+const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The part of an endpoint's response body that is read before the response is passed on.
 pub enum ResponsePrefix {
@@ -35,7 +34,8 @@
 
 impl ResponsePrefix {
     /// Reads the whole body if it is small and `budget` has capacity, otherwise only its first pieces. A body
-    /// of unknown length is read until `early_streaming` has it streamed.
+    /// that may be streamed is read at most until `early_streaming` has it streamed, which may be before its
+    /// first piece.
     pub async fn read(
         body: Incoming,
         budget: &Rc<BufferBudget>,
@@ -43,8 +43,17 @@
     ) -> Result<ResponsePrefix, ReceiveError> {
         let mut body = IncomingBody::new(body)?;
         let size = body.size_hint();
+        let may_be_streamed = may_be_large(&size);
         let mut buffer = budget.reserve(&size).map(BodyBuffer::new);
-        while let Some(data) = body.data().await? {
+        loop {
+            let received = tokio::select! {
+                biased;
+                received = body.data() => received?,
+                () = early_streaming.due(), if may_be_streamed => {
+                    return Ok(ResponsePrefix::partial(buffer, None, body));
+                }
+            };
+            let Some(data) = received else { break };
             let overflow = match &mut buffer {
                 Some(buffer) => buffer.push(data).err(),
                 None => Some(data),
@@ -53,14 +62,17 @@
             let streams_early =
                 size.exact().is_none() && early_streaming.on_piece(body.received(), Instant::now());
             if exceeds_buffer || streams_early {
-                let prefix = BufferedPrefix::new(buffer, overflow);
-                let body = StreamingResponseBody::new(prefix, body, !exceeds_buffer);
-                return Ok(ResponsePrefix::Partial(Box::new(body)));
+                return Ok(ResponsePrefix::partial(buffer, overflow, body));
             }
         }
         let (bytes, reservation) = buffer.map(BodyBuffer::freeze).unzip();
         Ok(ResponsePrefix::Complete(bytes.unwrap_or_default(), reservation))
     }
+
+    fn partial(buffer: Option<BodyBuffer>, overflow: Option<Bytes>, rest: IncomingBody) -> ResponsePrefix {
+        let prefix = BufferedPrefix::new(buffer, overflow);
+        ResponsePrefix::Partial(Box::new(StreamingResponseBody::new(prefix, rest)))
+    }
 }
 
 /// The way in which the transfer of a streamed response ended.
@@ -77,8 +89,10 @@
 /// The reason why a streamed response was aborted.
 #[derive(Debug, thiserror::Error)]
 enum TransferError {
-    #[error("no response data was received from the endpoint for {0:?}")]
-    Stalled(Duration),
+    #[error("no response data was received from the endpoint for {STREAM_STALL_TIMEOUT:?}")]
+    Stalled,
+    #[error("the response was received too slowly")]
+    TooSlow,
     #[error("the response body could not be received")]
     Receive(#[from] ReceiveError),
 }
@@ -87,8 +101,8 @@
 pub struct StreamingResponseBody {
     prefix: BufferedPrefix,
     rest: IncomingBody,
-    /// Whether the body was streamed early, so that it may turn out to be small.
-    may_be_small: bool,
+    /// When the streaming began.
+    started_at: Instant,
     /// Set while more of the body is awaited; completes when the endpoint has paused for too long.
     stall_timer: Option<Pin<Box<Sleep>>>,
     /// Called once, when the transfer ends.
@@ -96,8 +110,8 @@
 }
 
 impl StreamingResponseBody {
-    fn new(prefix: BufferedPrefix, rest: IncomingBody, may_be_small: bool) -> StreamingResponseBody {
-        StreamingResponseBody { prefix, rest, may_be_small, stall_timer: None, on_end: None }
+    fn new(prefix: BufferedPrefix, rest: IncomingBody) -> StreamingResponseBody {
+        StreamingResponseBody { prefix, rest, started_at: Instant::now(), stall_timer: None, on_end: None }
     }
 
     /// Sets the function that is called once, with the way in which the transfer ended.
@@ -139,20 +153,29 @@
                 Poll::Ready(received.map_err(TransferError::Receive))
             }
             Poll::Pending => {
-                let timeout = self.stall_timeout();
-                let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
+                let trickle_deadline = self.trickle_deadline();
+                let stalls_at = Instant::now() + STREAM_STALL_TIMEOUT;
+                let wait_until = trickle_deadline.map_or(stalls_at, |deadline| deadline.min(stalls_at));
+                let timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep_until(wait_until)));
                 ready!(timer.as_mut().poll(cx));
-                Poll::Ready(Err(TransferError::Stalled(timeout)))
+                let is_too_slow = trickle_deadline.is_some_and(|deadline| deadline <= Instant::now());
+                let error = if is_too_slow { TransferError::TooSlow } else { TransferError::Stalled };
+                Poll::Ready(Err(error))
             }
         }
     }
 
-    /// Returns the maximum time that the endpoint may pause now.
-    fn stall_timeout(&self) -> Duration {
-        match self.may_be_small && self.rest.received() <= MAX_BUFFERED_BODY_BYTES as u64 {
-            true => SMALL_RESPONSE_STALL_TIMEOUT,
-            false => LARGE_RESPONSE_STALL_TIMEOUT,
-        }
+    /// Returns the time by which more of the body has to be received while it is not known to be large.
+    /// Without this, a small response that trickles without an end would last forever.
+    ///
+    /// ```text
+    /// deadline = started + stall timeout + received / minimum rate
+    /// ```
+    fn trickle_deadline(&self) -> Option<Instant> {
+        let received = self.rest.received();
+        let may_be_small =
+            self.rest.size_hint().exact().is_none() && received <= MAX_BUFFERED_BODY_BYTES as u64;
+        may_be_small.then(|| self.started_at + STREAM_STALL_TIMEOUT + time_at_minimum_rate(received))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Uri};
 use mothspool::{Idempotency, RequestId};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::RequestBody;
 use crate::config::{ClassRule, Config, MAX_DEADLINE};
@@ -122,6 +123,8 @@
             begin_by: Cell::new(None),
             client_disconnected: Cell::new(false),
             was_sent: Cell::new(false),
+            response_began: Cell::new(false),
+            stop_buffering: CancellationToken::new(),
         }
     }
 }
--- a/src/node/engine/actions.rs
+++ b/src/node/engine/actions.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mothspool::{Action, EndpointId, Outcome, RequestId, TimerToken, Timestamp};
+use mothspool::{Action, EndpointId, Event, Outcome, RequestId, TimerToken, Timestamp};
 use tokio::task::spawn_local;
 
 use super::Engine;
 use super::event::{AttemptId, EngineEvent, FinalAnswer};
 use super::requests::{ActiveRequest, Attempt};
-use crate::upstream::AttemptOutcome;
+use crate::upstream::{AttemptOutcome, ResponseProgress};
 
 impl Engine {
     pub(super) fn perform(&mut self, action: Action) {
@@ -42,9 +42,18 @@
         let may_be_written = Rc::new(Cell::new(false));
         let (upstream, handle) = (self.upstream.clone(), self.handle.clone());
         let task_may_be_written = may_be_written.clone();
+        let progress_handle = self.handle.clone();
+        let on_progress = move |progress| {
+            progress_handle.send(EngineEvent::Balancer(match progress {
+                ResponseProgress::Began => Event::ResponseBegan(id, attempt.number),
+                ResponseProgress::Stalled => Event::ResponseStalled(id, attempt.number),
+            }));
+        };
         let task = spawn_local(async move {
             let outcome = match may_send {
-                true => upstream.attempt(&upstream_request, endpoint, &task_may_be_written).await,
+                true => {
+                    upstream.attempt(&upstream_request, endpoint, &task_may_be_written, &on_progress).await
+                }
                 false => AttemptOutcome::Failed(Outcome::NotSent),
             };
             handle.send(to_event(attempt, outcome));
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Incoming, SizeHint};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use mothspool::{EndpointId, Outcome};
@@ -15,7 +15,7 @@
 use super::request::{UpstreamRequest, head_length};
 use super::response::{ResponseFraming, StreamingResponse, closes_connection, is_rejection};
 use super::stall::{InformationalCounter, response_stalled};
-use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, is_too_large_to_buffer};
+use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, is_too_large_to_buffer, may_be_large};
 use crate::net::UpstreamSocket;
 use crate::protocol::headers::remove_hop_by_hop_headers;
 
@@ -29,17 +29,29 @@
     Streaming(Response<StreamingResponse>),
 }
 
+/// A step of a response that is not complete.
+#[derive(Clone, Copy)]
+pub enum ResponseProgress {
+    /// The head of a 200 response has arrived, and its body may be large. The attempt ends with the response,
+    /// complete or not, before the request expires.
+    Began,
+    /// The response has begun to arrive and has paused.
+    Stalled,
+}
+
 impl UpstreamPool {
     /// Sends a request to an endpoint and waits for the response, at most until the request expires.
-    /// `may_be_written` is `true` while some of the request may have been written to a socket.
+    /// `may_be_written` is `true` while some of the request may have been written to a socket. `on_progress`
+    /// is called with each step of the response.
     pub async fn attempt(
         self: &Rc<Self>,
         request: &UpstreamRequest,
         endpoint: EndpointId,
         may_be_written: &Cell<bool>,
+        on_progress: &dyn Fn(ResponseProgress),
     ) -> AttemptOutcome {
-        let awaits_large_body = Cell::new(false);
-        let attempt = Attempt { pool: self, request, endpoint, may_be_written, awaits_large_body };
+        let stage = Cell::new(ResponseStage::AwaitingHead);
+        let attempt = Attempt { pool: self, request, endpoint, may_be_written, on_progress, stage };
         let result = tokio::select! {
             biased;
             result = attempt.run() => result,
@@ -70,9 +82,21 @@
     request: &'a UpstreamRequest,
     endpoint: EndpointId,
     may_be_written: &'a Cell<bool>,
-    /// Whether the head of a 200 response has been read that states a length too large to be buffered. The
-    /// endpoint may take until the client's deadline to begin its body.
-    awaits_large_body: Cell<bool>,
+    on_progress: &'a dyn Fn(ResponseProgress),
+    stage: Cell<ResponseStage>,
+}
+
+/// What is known of the response to an attempt.
+#[derive(Clone, Copy, PartialEq)]
+enum ResponseStage {
+    /// Its head is incomplete.
+    AwaitingHead,
+    /// It is complete except for its body, which decides the outcome.
+    AwaitingBody,
+    /// It is a 200 response with a body that is too large to be buffered.
+    AwaitingLargeBody,
+    /// It is an error, whatever its body is.
+    Error,
 }
 
 /// Why there is no response to a request on one connection.
@@ -141,7 +165,7 @@
         Ok(connected?)
     }
 
-    /// Sends the request on a connection and reads the response. Fails if the response stalls.
+    /// Sends the request on a connection and reads the response.
     async fn exchange(&self, lease: ConnectionLease) -> Result<AttemptOutcome, ExchangeError> {
         let mut http_request = self.request.to_http().ok_or(Outcome::NotSent)?;
         let informational = InformationalCounter::attach(&mut http_request);
@@ -159,18 +183,34 @@
         tokio::select! {
             biased;
             result = self.send_and_read(lease, http_request) => result,
-            () = self.stalled(&socket, &informational) => {
-                self.log_abandoned("the response has stalled");
-                Err(Outcome::Reset.into())
-            }
+            outcome = self.watch_for_stalls(&socket, &informational) => Err(outcome.into()),
         }
     }
 
-    /// Waits until a response that is buffered, or that may still be small, has stalled.
-    async fn stalled(&self, socket: &UpstreamSocket, informational: &InformationalCounter) {
-        response_stalled(socket, informational).await;
-        if self.awaits_large_body.get() {
-            std::future::pending::<()>().await;
+    /// Reports when the response has stalled. Returns the outcome if that is known although the body of the
+    /// response is incomplete.
+    async fn watch_for_stalls(
+        &self,
+        socket: &UpstreamSocket,
+        informational: &InformationalCounter,
+    ) -> Outcome {
+        loop {
+            response_stalled(socket, informational).await;
+            match self.stage.get() {
+                ResponseStage::AwaitingHead | ResponseStage::AwaitingBody => {
+                    tracing::info!(
+                        request = %self.request.client_request_id,
+                        endpoint = %EndpointAddress(self.pool.available_incarnation(self.endpoint)),
+                        "response stalled; waiting for the rest of it"
+                    );
+                    (self.on_progress)(ResponseProgress::Stalled);
+                }
+                ResponseStage::AwaitingLargeBody => {}
+                ResponseStage::Error => {
+                    self.log_abandoned("the body of an error has stalled");
+                    return Outcome::Error;
+                }
+            }
         }
     }
 
@@ -237,8 +277,11 @@
     ) -> Result<AttemptOutcome, Outcome> {
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
-        self.awaits_large_body
-            .set(head.status == StatusCode::OK && is_too_large_to_buffer(&body.size_hint()));
+        self.stage.set(stage_after_head(&head, &body.size_hint()));
+        if head.status == StatusCode::OK && may_be_large(&body.size_hint()) {
+            self.request.response_began.set(true);
+            (self.on_progress)(ResponseProgress::Began);
+        }
         let early_streaming = self.request.early_streaming(Instant::now());
         let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), early_streaming)
             .await
@@ -251,8 +294,7 @@
         if keeps_connection && matches!(prefix, ResponsePrefix::Complete(..)) {
             lease.return_idle();
         }
-        let may_reject = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
-        if !may_reject || !is_rejection(&head.headers) {
+        if !is_rejection(&head) {
             return Err(Outcome::Error);
         }
         if closes_connection(&head.headers) {
@@ -262,6 +304,17 @@
     }
 }
 
+/// Returns what is known of a response with this head and a body of this size that has not been read.
+fn stage_after_head(head: &response::Parts, size: &SizeHint) -> ResponseStage {
+    match head.status {
+        StatusCode::OK if is_too_large_to_buffer(size) => ResponseStage::AwaitingLargeBody,
+        StatusCode::OK => ResponseStage::AwaitingBody,
+        // Without the rest of its message, a rejection does not prove that the request was not executed.
+        _ if is_rejection(head) => ResponseStage::AwaitingBody,
+        _ => ResponseStage::Error,
+    }
+}
+
 /// Builds the outcome of an attempt that got a response with status 200.
 fn build_success_outcome(
     mut head: response::Parts,
--- a/src/node/upstream/mod.rs
+++ b/src/node/upstream/mod.rs
@@ -24,7 +24,7 @@
 mod stale_connections;
 mod stall;
 
-pub use attempt::AttemptOutcome;
+pub use attempt::{AttemptOutcome, ResponseProgress};
 pub use endpoints::ListedEndpoint;
 pub use pool::{UpstreamPool, max_upstream_connections};
 pub use request::UpstreamRequest;
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -7,6 +7,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request};
 use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::{CompleteUpload, EarlyStreaming, OutboundBody, RequestBody, UploadProgress};
 use crate::protocol::compact_headers::CompactHeaders;
@@ -17,6 +18,9 @@
 /// Minimum time for which the endpoint has to read nothing of the body before the attempt fails.
 const MIN_UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time before the client's deadline at which a response that has begun is passed on.
+const STREAMING_MARGIN: Duration = Duration::from_millis(25);
+
 /// Number of headers that an attempt adds: the deadline and the length of the body.
 const HEADERS_OF_AN_ATTEMPT: usize = 2;
 
@@ -49,6 +53,10 @@
     pub client_disconnected: Cell<bool>,
     /// Whether an attempt has begun to write the request to an endpoint.
     pub was_sent: Cell<bool>,
+    /// Whether a response has begun that is passed on by the client's deadline at the latest.
+    pub response_began: Cell<bool>,
+    /// Cancelled when a response that has begun has to be passed on at once.
+    pub stop_buffering: CancellationToken,
 }
 
 impl UpstreamRequest {
@@ -111,11 +119,13 @@
         }
     }
 
-    /// Returns when a response of unknown length that begins at `began_at` is streamed: once half of the time
-    /// that is left to it has passed.
+    /// Returns when a response that begins at `began_at` is streamed: one of unknown length once half of the
+    /// time that is left to it has passed, if it is received fast enough, and any other shortly before the
+    /// client's deadline.
     ///
     /// ```text
     /// stream_from = began_at + (wanted_by - began_at) / 2
+    /// stream_by = deadline - STREAMING_MARGIN
     /// ```
     ///
     /// `wanted_by` is the latency objective, or the client's deadline if the response begins after the
@@ -125,7 +135,9 @@
         let objective_at = received_at + self.latency_objective;
         let wanted_by = if began_at < objective_at { objective_at } else { received_at + self.timeout };
         let time_left = wanted_by.saturating_duration_since(began_at);
-        EarlyStreaming::new(began_at + time_left / 2)
+        let stream_from = began_at + time_left / 2;
+        let stream_by = received_at + self.timeout.saturating_sub(STREAMING_MARGIN);
+        EarlyStreaming::new(stream_from.min(stream_by), stream_by, self.stop_buffering.clone())
     }
 
     /// Returns whether the client may have stopped waiting, since it may have sent its last byte so long ago.
--- a/src/node/upstream/response.rs
+++ b/src/node/upstream/response.rs
@@ -1,6 +1,8 @@
 //! Responses of endpoints: their framing, and those that are streamed to the client.
 
+use hyper::StatusCode;
 use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use mothspool::Outcome;
 
 use super::pool::ConnectionLease;
@@ -45,9 +47,10 @@
     headers.get_all(header::CONNECTION).iter().any(has_close)
 }
 
-/// Returns whether these headers say that the endpoint rejected the request without executing it.
-pub(super) fn is_rejection(headers: &HeaderMap) -> bool {
-    headers.get(SRV_DECLINED).is_some_and(|value| value.as_bytes() == b"1")
+/// Returns whether a response says that the endpoint rejected the request without executing it.
+pub(super) fn is_rejection(head: &Parts) -> bool {
+    matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+        && head.headers.get(SRV_DECLINED).is_some_and(|value| value.as_bytes() == b"1")
 }
 
 /// The body of a response of which the first part has been read and the rest is streamed to the client.
--- a/src/node/upstream/stall.rs
+++ b/src/node/upstream/stall.rs
@@ -2,14 +2,18 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::ext::on_informational;
 use tokio::time::timeout;
 
-use crate::body::{OutboundBody, SMALL_RESPONSE_STALL_TIMEOUT};
+use crate::body::OutboundBody;
 use crate::net::UpstreamSocket;
 
+/// Time without data after which a response that has begun to arrive counts as stalled.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Maximum number of informational responses (1xx) before a final response.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
 
@@ -34,7 +38,7 @@
 }
 
 /// Waits until a response has begun to arrive on the socket and has then stalled: no further data has arrived
-/// for [`SMALL_RESPONSE_STALL_TIMEOUT`].
+/// for [`RESPONSE_STALL_TIMEOUT`].
 ///
 /// The final response may follow an informational one after any time, so a pause after an informational
 /// response is not a stall. At most [`MAX_INFORMATIONAL_RESPONSES`] of them are allowed.
@@ -42,7 +46,7 @@
     let mut previous_count = 0;
     loop {
         socket.data_received().await;
-        while timeout(SMALL_RESPONSE_STALL_TIMEOUT, socket.data_received()).await.is_ok() {}
+        while timeout(RESPONSE_STALL_TIMEOUT, socket.data_received()).await.is_ok() {}
         let count = informational.count();
         if count == previous_count || count > MAX_INFORMATIONAL_RESPONSES {
             return;
--- a/tests/balancer/streaming.rs
+++ b/tests/balancer/streaming.rs
@@ -64,3 +64,55 @@
     let (id, actions) = node.arrive(NON_IDEMPOTENT, Some(0));
     assert_eq!(sends(&actions, id), [1]);
 }
+
+/// Guards against a final answer that the balancer gives in place of a response that has begun.
+#[test]
+fn a_response_that_has_begun_suspends_the_deadline_until_its_attempt_ends() {
+    let mut node = TestNode::new(settings(), endpoints(1..11));
+    let (id, _) = node.arrive(NON_IDEMPOTENT, Some(0));
+    assert_eq!(node.handle(Event::ResponseBegan(id, 0)), []);
+    let late = node.fire_timer(id, S);
+    assert!(!failed(&late, id) && !rejected(&late, id), "{late:?}");
+    let over = node.end_attempt(id, 0, Outcome::Reset, S);
+    assert!(failed(&over, id), "{over:?}");
+    assert_eq!(node.balancer.tracked_requests(), 0);
+}
+
+#[test]
+fn a_request_whose_response_stalls_is_sent_again_if_its_class_allows_it() {
+    let cases =
+        [(IDEMPOTENT, true, 1), (KEYED_BY_ALL, true, 1), (NON_IDEMPOTENT, true, 0), (IDEMPOTENT, false, 0)];
+    for (class, hedging, expected) in cases {
+        let mut node = TestNode::new(Settings { hedging, ..settings() }, endpoints(1..11));
+        let (id, _) = node.arrive(class, Some(0));
+        node.now += 20 * MS;
+        let again = node.handle(Event::ResponseStalled(id, 0));
+        assert_eq!(sends(&again, id).len(), expected, "class {class}, hedging {hedging}");
+        assert!(!again.contains(&Action::Cancel(id, 0)), "the stalled attempt may still be served");
+        assert_eq!(node.handle(Event::ResponseStalled(id, 0)), [], "one attempt is not stalled");
+    }
+}
+
+#[test]
+fn an_endpoint_whose_stalled_responses_lose_to_others_gets_fewer_requests() {
+    let requests_to_stalling = |stalls: bool| {
+        let (mut node, pool) = pool_of_four();
+        let stalling = pool[0];
+        let mut count = 0;
+        for _ in 0..60 {
+            let (id, actions) = node.arrive(IDEMPOTENT, Some(0));
+            node.now += MS;
+            if stalls && sends(&actions, id)[0] == stalling {
+                count += 1;
+                node.handle(Event::ResponseStalled(id, 0));
+                node.end_attempt(id, 1, Outcome::Served, MS);
+                node.end_attempt(id, 0, Outcome::Cancelled, MS);
+            } else {
+                count += usize::from(sends(&actions, id)[0] == stalling);
+                node.end_attempt(id, 0, Outcome::Served, MS);
+            }
+        }
+        count
+    };
+    assert!(requests_to_stalling(true) * 2 < requests_to_stalling(false));
+}
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::support::*;
 
@@ -157,3 +157,21 @@
         thread::sleep(pause);
     }
 }
+
+/// Time after the client's deadline by which a response has ended whose endpoint hangs: 10 s without data or
+/// at less than the minimum rate, and the time that 64 KiB take at that rate.
+const MAX_HANG: Duration = Duration::from_millis(12_500);
+
+/// Sends a request to whose response the endpoint never sends the end, and checks that the response begins
+/// within `client_wait`, that it ends, and that the client can tell that it is not whole.
+pub fn expect_cut_off_response(client: &mut Connection, request: &[u8], client_wait: Duration) {
+    let sent_at = Instant::now();
+    client.stream.set_read_timeout(Some(client_wait + MAX_HANG)).unwrap();
+    client.send(request);
+    client.stream.peek(&mut [0]).unwrap();
+    let began_after = sent_at.elapsed();
+    assert!(client.try_receive().is_none(), "the truncated response looks complete");
+    let ended_after = sent_at.elapsed();
+    assert!(began_after < client_wait, "the response begins after {began_after:?}");
+    assert!(ended_after < client_wait + MAX_HANG, "the response ends after {ended_after:?}");
+}
