Pass on an answer that has begun at the shutdown deadline

Cause: exchange gives the final answer at that time whatever the attempt has.

Change: it has the attempt stop buffering and waits for what it hands over, if the head of a large answer, or one of unknown length, has arrived.

--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -2,11 +2,12 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hyper::{Response, StatusCode};
 use mothspool::{Event, RequestId};
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::body::{BodyError, RequestBody, ResponseBody, UploadProgress};
 use crate::downstream::error::RequestError;
@@ -17,6 +18,10 @@
 use crate::net::SocketObserver;
 use crate::upstream::UpstreamRequest;
 
+/// Maximum time until a response that has begun is passed on once that was asked for. Longer than a node is
+/// held up at most.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A valid request whose body is buffered completely or is streamed.
 pub struct AcceptedRequest<'a> {
     /// The request as the balancer gets it.
@@ -52,7 +57,7 @@
 ) -> Result<Response<ResponseBody>, RequestError> {
     let AcceptedRequest { request, upstream_request, claimed_id } = accepted;
     let body = upstream_request.body.clone();
-    let (answer_sender, answer) = oneshot::channel();
+    let (answer_sender, mut answer) = oneshot::channel();
     let mut disconnect_guard =
         DisconnectGuard { id: request.id, claimed_id, upstream_request, engine, armed: true };
     engine.send(EngineEvent::RequestArrived {
@@ -62,22 +67,40 @@
     });
     let answer = tokio::select! {
         biased;
-        answer = answer => answer,
+        answer = &mut answer => answer,
         error = wait_for_upload_failure(&body) => return Err(error.into()),
         () = observer.closed() => return Err(RequestError::ClientDisconnected),
         never = follow_input(&body, observer) => match never {},
         () = lifecycle.wait_for_shutdown_deadline() => {
-            tracing::info!(
-                request = %disconnect_guard.upstream_request.client_request_id,
-                "request failed: the shutdown deadline has passed"
-            );
-            return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"));
+            match begun_response(&disconnect_guard.upstream_request, &mut answer).await {
+                Some(begun) => Ok(begun),
+                None => return Ok(plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving")),
+            }
         }
     };
     disconnect_guard.armed = false;
     Ok(answer.map_or_else(|_| no_answer(), response_to))
 }
 
+/// Has a response that has begun passed on at once, and returns it. Returns `None` if no response has begun.
+async fn begun_response(
+    request: &UpstreamRequest,
+    answer: &mut oneshot::Receiver<FinalAnswer>,
+) -> Option<FinalAnswer> {
+    request.stop_buffering.cancel();
+    let begun = match request.response_began.get() {
+        true => timeout(HANDOVER_TIMEOUT, answer).await.ok().and_then(Result::ok),
+        false => None,
+    };
+    if begun.is_none() {
+        tracing::info!(
+            request = %request.client_request_id,
+            "request failed: the shutdown deadline has passed"
+        );
+    }
+    begun
+}
+
 /// Waits until the client fails to send its body. Never returns if the body is buffered or arrives in full.
 async fn wait_for_upload_failure(body: &RequestBody) -> BodyError {
     match body {
