Let an endpoint pause for 10 s in reading a long request

What callers saw: an upload of 31 MB whose endpoint pauses for 1.7 s in reading it got 504 after a pause of 1 s, while its client still sent.

Cause: the same class as the incident's: a bound of the node on pauses (is_upload_stalled, 1 s at least) ends an attempt before the client's time is over. While more than 8 MiB of a stated length are unread that time has not even begun.

Change: the bound is 10 s, as for responses. Where the client may have sent all of its request, its own time still ends the attempt.

Result: an_endpoint_may_pause_while_a_client_still_sends failed before and passes, three times of three.

--- a/src/balancer/streaming.rs
+++ b/src/balancer/streaming.rs
@@ -43,7 +43,8 @@
         }
     }
 
-    /// Sends a request again if all of its attempts in flight have stalled. The first complete response wins.
+    /// Sends a request again if all of its attempts in flight have stalled. The first complete response
+    /// wins.
     pub(super) fn on_response_stalled(&mut self, id: RequestId, number: AttemptNumber) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempt_in_flight(number) else { return };
@@ -57,8 +58,8 @@
         }
     }
 
-    /// Records that a response is being streamed: the endpoint has executed the request. The latency is measured now,
-    /// since the rest of the response depends on how fast the client reads.
+    /// Records that a response is being streamed: the endpoint has executed the request. The latency is
+    /// measured now, since the rest of the response depends on how fast the client reads.
     pub(super) fn on_response_started(&mut self, id: RequestId, number: AttemptNumber) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.finished = true;
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -16,7 +16,7 @@
 /// Interval of the check whether the endpoint still reads the body that is sent to it.
 const UPLOAD_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time for which the endpoint has to read nothing of the body before the attempt fails.
-const MIN_UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
+const MIN_UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time before the client's deadline at which a response that has begun is passed on.
 const STREAMING_MARGIN: Duration = Duration::from_millis(25);
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -128,6 +128,30 @@
     }
 }
 
+/// Guards against a long upload that is failed because its endpoint pauses in reading it, although its client
+/// still sends.
+#[test]
+fn an_endpoint_may_pause_while_a_client_still_sends() {
+    const BODY_BYTES: usize = 31_000_000;
+    const PAUSE: Duration = Duration::from_millis(1700);
+    let [order, _] = large_orders(Duration::from_millis(500), BODY_BYTES);
+    let (node, listener) = start_node_with_listener();
+    let mut client = node.client();
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut endpoint = accept_connection(&listener);
+            endpoint.read_exact(&mut vec![0; 1_000_000]).unwrap();
+            thread::sleep(PAUSE);
+            let mut rest = vec![0; BODY_BYTES];
+            endpoint.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+            while endpoint.read(&mut rest).is_ok_and(|length| length > 0) {}
+            Connection::from_stream(endpoint).send(&response(200, "", "noted"));
+        });
+        client.send(&order);
+        assert_eq!(client.receive().body, b"noted");
+    });
+}
+
 /// Guards against a long upload that is failed although its client still sends: the endpoint reads it more
 /// slowly than the client could send it, and takes longer than the client's time.
 #[test]
