Read on until a socket would block, however little a read transfers

Cause: tokio takes a read or write that transfers less than it could for the sign that the socket is drained or full, and waits for an event. None follows for data that is left.

--- a/src/node/discovery/watch.rs
+++ b/src/node/discovery/watch.rs
@@ -18,6 +18,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::parser::{ListParser, ParseError};
+use crate::net::Stream;
 use crate::protocol::endpoint_list::EndpointList;
 
 /// Time limit for opening a connection. After the address of discovery has changed, a watch has to be open
@@ -116,7 +117,8 @@
     pub(super) async fn open(address: SocketAddr, revision: u64) -> Result<Watch, WatchError> {
         let stream = connect(address).await?;
         let request_error = |source| WatchError::Request { address, source };
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(request_error)?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(Stream(stream))).await.map_err(request_error)?;
         let connection = AbortOnDropHandle::new(spawn_local(connection));
         let request = Request::get(format!("/catalog/members?watch=1&from={revision}"))
             .header(header::HOST, address.to_string())
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -17,6 +17,7 @@
 
 use super::framing::MessageFramer;
 use super::receive_queue::{ReceiveQueue, has_unread_bytes};
+use super::stream;
 
 /// Maximum time that a client that is still sending has to read the response that rejects its request, before
 /// the connection is closed. Closing a socket with unread bytes resets the connection, and the reset may
@@ -160,28 +161,12 @@
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        let result = self.poll_write_unobserved(cx, write);
+        let result = stream::poll_write(self.stream.as_ref(), cx, write);
         let blocked_since = self.write_blocked_since.get().unwrap_or_else(Instant::now);
         self.write_blocked_since.set(result.is_pending().then_some(blocked_since));
         result
     }
 
-    /// Writes as much as the kernel accepts, once it accepts anything.
-    fn poll_write_unobserved(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        let stream = self.stream.as_ref();
-        loop {
-            ready!(stream.poll_write_ready(cx))?;
-            match write(stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
-
     /// Closes the write side, which sends the client the end of the stream.
     fn shut_down_write(&self) -> io::Result<()> {
         match SockRef::from(self.stream.as_ref()).shutdown(Shutdown::Write) {
@@ -261,13 +246,9 @@
 }
 
 impl AsyncRead for DownstreamSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let result = Pin::new(&mut self.reader).poll_read(cx, buf);
+        let result = stream::poll_read(self.reader.as_ref(), cx, buf);
         self.observer.framer.borrow_mut().push(&buf.filled()[filled_before..]);
         result
     }
--- a/src/node/net/mod.rs
+++ b/src/node/net/mod.rs
@@ -8,9 +8,11 @@
 mod framing;
 mod permits;
 mod receive_queue;
+mod stream;
 mod upstream_socket;
 
 pub use descriptors::is_descriptor_limit;
 pub use downstream_socket::{DownstreamSocket, SocketObserver};
 pub use permits::{ConnectionPermit, ConnectionPermits};
+pub use stream::Stream;
 pub use upstream_socket::{UpstreamIo, UpstreamSocket};
--- a/src/node/net/upstream_socket.rs
+++ b/src/node/net/upstream_socket.rs
@@ -12,11 +12,12 @@
 
 use super::permits::ConnectionPermit;
 use super::receive_queue::ReceiveQueue;
+use super::stream::Stream;
 
 /// A connection to an endpoint, shared between hyper, which uses it through [`UpstreamIo`], and the
 /// connection's owner.
 pub struct UpstreamSocket {
-    stream: RefCell<TcpStream>,
+    stream: RefCell<Stream>,
     /// Number of bytes written.
     bytes_written: Cell<u64>,
     /// Whether bytes were read since this was last cleared.
@@ -30,7 +31,7 @@
     /// Wraps a connected stream. The permit is released when the socket is dropped, which closes it.
     pub fn new(stream: TcpStream, permit: ConnectionPermit) -> UpstreamSocket {
         UpstreamSocket {
-            stream: RefCell::new(stream),
+            stream: RefCell::new(Stream(stream)),
             bytes_written: Cell::new(0),
             has_received_data: Cell::new(false),
             data_notify: Notify::new(),
@@ -59,7 +60,7 @@
 
     /// Returns whether the connection is open and the kernel has received nothing that is still to be read.
     pub fn is_receive_queue_empty(&self) -> bool {
-        ReceiveQueue::of(&self.stream.borrow()) == ReceiveQueue::Empty
+        ReceiveQueue::of(&self.stream.borrow().0) == ReceiveQueue::Empty
     }
 
     /// Adds the bytes of a successful write to the count.
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -55,6 +55,14 @@
     line.to_string()
 }
 
+/// Returns the path of the library that injects faults, which `cargo test` builds as an example.
+pub fn fault_injection_library() -> PathBuf {
+    let folder = Path::new(env!("CARGO_BIN_EXE_mothspool")).parent().unwrap();
+    let path = folder.join("examples/libfault_injection.so");
+    assert!(path.exists(), "build it with `cargo build --examples`");
+    path
+}
+
 /// Creates an empty directory for the state file of one test.
 pub fn state_dir() -> PathBuf {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -170,6 +170,13 @@
         Launch::new(command).start_with_log(endpoints, |_| {})
     }
 
+    /// Starts a node into which the fault injection library is loaded, with these variables for it.
+    pub fn with_faults(endpoints: &[Value], faults: &[(&str, &str)]) -> Node {
+        let mut command = node_command();
+        command.env("LD_PRELOAD", fault_injection_library()).envs(faults.iter().copied());
+        Launch::new(command).start(endpoints, |_| {})
+    }
+
     /// Opens a client connection.
     pub fn client(&self) -> Connection {
         Connection::open(self.address)
