Try a connection again that fails for lack of something on this machine

What callers saw: while connect or socket fails for a moment (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENOMEM), requests are refused within milliseconds, and endpoints count as failing.

Cause: only a lack of descriptors was tried again; every other error of a connect was taken for the endpoint's.

Change: is_local_shortage names the errors that say nothing of the endpoint. Such a connection is tried again every 10 ms within the connect timeout, and then ends as not sent.

--- a/src/node/net/mod.rs
+++ b/src/node/net/mod.rs
@@ -3,16 +3,16 @@
 
 pub mod inherited_listener;
 
-mod descriptors;
 mod downstream_socket;
 mod framing;
 mod permits;
 mod receive_queue;
 mod stream;
+mod system_errors;
 mod upstream_socket;
 
-pub use descriptors::is_descriptor_limit;
 pub use downstream_socket::{DownstreamSocket, SocketObserver};
 pub use permits::{ConnectionPermit, ConnectionPermits};
 pub use stream::Stream;
+pub use system_errors::{is_descriptor_limit, is_local_shortage};
 pub use upstream_socket::{UpstreamIo, UpstreamSocket};
--- a/src/node/upstream/connect.rs
+++ b/src/node/upstream/connect.rs
@@ -10,15 +10,18 @@
 
 use super::connection::{Connection, Incarnation};
 use super::request::UpstreamRequest;
-use crate::net::{ConnectionPermit, ConnectionPermits, UpstreamSocket, is_descriptor_limit};
+use crate::net::{
+    ConnectionPermit, ConnectionPermits, UpstreamSocket, is_descriptor_limit, is_local_shortage,
+};
 
-/// Delay before a connection that failed for lack of a descriptor is tried again.
-const DESCRIPTOR_RETRY_BACKOFF: Duration = Duration::from_millis(10);
+/// Delay before a connection that failed for lack of something on this machine is tried again.
+const SHORTAGE_RETRY_BACKOFF: Duration = Duration::from_millis(10);
 
 /// Reason why no connection was opened.
 #[derive(Clone, Copy)]
 pub enum ConnectError {
-    /// No permit or no descriptor became available in time. This is not a failure of the endpoint.
+    /// No permit became available in time, or this machine lacked something else for a connection. This is
+    /// not a failure of the endpoint.
     NoCapacity,
     /// The request may no longer be sent. This changed while it waited for a permit or a descriptor.
     RequestWithdrawn,
@@ -68,10 +71,10 @@
         handshake.map_err(|_| ConnectError::Unreachable)
     }
 
-    /// Opens a socket once a permit and a descriptor are available. Descriptors can run out before permits,
-    /// because the machine may have fewer of them than the configuration says.
+    /// Opens a socket once a permit and all that it takes on this machine are available. Descriptors can run
+    /// out before permits, because the machine may have fewer of them than the configuration says.
     ///
-    /// The wait for both is limited to the connect timeout. It would not help to fail immediately: the
+    /// The wait for them is limited to the connect timeout. It would not help to fail immediately: the
     /// shortage affects the connections to all endpoints, and immediate retries would use up the attempts of
     /// the request.
     async fn open_socket(
@@ -88,20 +91,23 @@
             if !request.may_begin() {
                 return Err(ConnectError::RequestWithdrawn);
             }
-            match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+            let shortage = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
-                    stream.set_nodelay(true).map_err(|_| ConnectError::Unreachable)?;
+                    // A failure is ignored: without `TCP_NODELAY` the connection is slower, but still correct.
+                    let _ = stream.set_nodelay(true);
                     return Ok(UpstreamSocket::new(stream, permit));
                 }
-                Ok(Err(error)) if is_descriptor_limit(&error) => {}
+                Ok(Err(error)) if is_local_shortage(&error) => error,
                 _ => return Err(ConnectError::Unreachable),
-            }
+            };
             if Instant::now() >= deadline {
                 return Err(ConnectError::NoCapacity);
             }
             drop(permit);
-            evict_idle();
-            sleep(DESCRIPTOR_RETRY_BACKOFF).await;
+            if is_descriptor_limit(&shortage) {
+                evict_idle();
+            }
+            sleep(SHORTAGE_RETRY_BACKOFF).await;
         }
     }
 
--- a/tests/node/failing_system_calls.rs
+++ b/tests/node/failing_system_calls.rs
@@ -78,3 +78,15 @@
 fn failed_accepts_lose_no_request() {
     expect_all_served(&[("FAULT_FAILED_ACCEPTS", "30")]);
 }
+
+/// Guards against requests that fail, and endpoints that count as failing, because of a shortage on the
+/// node's own machine.
+#[test]
+fn failed_connects_lose_no_request() {
+    expect_all_served(&[("FAULT_FAILED_CONNECTS", "60")]);
+}
+
+#[test]
+fn sockets_that_cannot_be_opened_lose_no_request() {
+    expect_all_served(&[("FAULT_FAILED_SOCKETS", "60")]);
+}
