Compare stamps of the wall clock once, and not across a step of it

What was seen: with the wall clock set back by 5 s or an hour, an endpoint that starts then gets 0.20 of the requests at once, a warm one's part; set forward by an hour it gets no fair share 4 s after its slow start should have ended. The same after maintenance.

Cause: the balancer's clock was Unix time as of the process's start, and was compared with boot_ms and exits from maintenance for ever.

Change: the balancer's clock is monotonic only. WallClock converts a stamp once, when the node learns of it; one that may come from before the last step counts as stamped then.

--- a/src/node/admin/service.rs
+++ b/src/node/admin/service.rs
@@ -1,14 +1,14 @@
 //! Executes commands of operators.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hyper::StatusCode;
-use mothspool::Timestamp;
 use tokio::time::sleep;
 
 use super::commands::{Command, CommandError};
 use super::responses::{AdminResponse, NodeStatus, status_response};
+use crate::clock::WallClock;
 use crate::engine::EngineHandle;
 use crate::lifecycle::Lifecycle;
 use crate::log::ErrorChain;
@@ -24,12 +24,18 @@
     store: Rc<StateStore>,
     lifecycle: Rc<Lifecycle>,
     engine: EngineHandle,
+    wall_clock: Rc<WallClock>,
 }
 
 impl AdminService {
     /// Creates a service that changes the state in `store`, which applies it.
-    pub fn new(store: Rc<StateStore>, lifecycle: Rc<Lifecycle>, engine: EngineHandle) -> AdminService {
-        AdminService { store, lifecycle, engine }
+    pub fn new(
+        store: Rc<StateStore>,
+        lifecycle: Rc<Lifecycle>,
+        engine: EngineHandle,
+        wall_clock: Rc<WallClock>,
+    ) -> AdminService {
+        AdminService { store, lifecycle, engine, wall_clock }
     }
 
     /// Executes a command. If it changes the state, returns once all processes have had time to apply it.
@@ -44,7 +50,8 @@
             }
             Command::ExitMaintenance { uid } => {
                 self.check_known(&uid)?;
-                self.update(|state| state.exit_maintenance(&uid, unix_time())).await?;
+                let now = self.wall_clock.unix_time();
+                self.update(|state| state.exit_maintenance(&uid, now)).await?;
             }
         }
         Ok(status_response(StatusCode::OK, &self.node_status()))
@@ -86,9 +93,3 @@
         }
     }
 }
-
-/// Returns the current Unix time.
-fn unix_time() -> Timestamp {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Timestamp::from_micros(now.as_micros() as u64)
-}
--- a/src/node/admin/state_applier.rs
+++ b/src/node/admin/state_applier.rs
@@ -4,6 +4,7 @@
 
 use mothspool::Timestamp;
 
+use crate::clock::WallClock;
 use crate::engine::EngineHandle;
 use crate::lifecycle::Lifecycle;
 use crate::protocol::endpoint_list::endpoint_id;
@@ -13,12 +14,13 @@
 pub struct StateApplier {
     lifecycle: Rc<Lifecycle>,
     engine: EngineHandle,
+    wall_clock: Rc<WallClock>,
 }
 
 impl StateApplier {
     /// Creates an applier for a process to which nothing was applied yet.
-    pub fn new(lifecycle: Rc<Lifecycle>, engine: EngineHandle) -> StateApplier {
-        StateApplier { lifecycle, engine }
+    pub fn new(lifecycle: Rc<Lifecycle>, engine: EngineHandle, wall_clock: Rc<WallClock>) -> StateApplier {
+        StateApplier { lifecycle, engine, wall_clock }
     }
 }
 
@@ -32,7 +34,8 @@
         self.lifecycle.set_standby(current.standby);
         for (uid, exited_at) in &current.exited_at {
             if previous.exited_at.get(uid) != Some(exited_at) {
-                self.engine.exit_maintenance(endpoint_id(uid), Timestamp::from_micros(*exited_at));
+                let exited_at = self.wall_clock.local_time(Timestamp::from_micros(*exited_at));
+                self.engine.exit_maintenance(endpoint_id(uid), exited_at);
             }
         }
         for uid in &current.maintenance {
--- a/src/node/discovery/entries.rs
+++ b/src/node/discovery/entries.rs
@@ -1,9 +1,11 @@
 //! Conversion of the entries of endpoint lists to the form that the balancer uses.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 
-use mothspool::{EndpointInfo, EndpointState, Timestamp};
+use mothspool::{EndpointId, EndpointInfo, EndpointState, Timestamp};
 
+use crate::clock::WallClock;
 use crate::config::Config;
 use crate::protocol::endpoint_list::{EndpointEntry, EntryState, endpoint_id};
 use crate::upstream::ListedEndpoint;
@@ -36,16 +38,49 @@
     }
 }
 
-/// Converts entries, and keeps the indices of the zones and machine types in them.
+/// A start of an endpoint, as its entry states it and on the balancer's clock.
+struct KnownStart {
+    stated_ms: u64,
+    started_at: Timestamp,
+}
+
+/// The last start of each endpoint that a list has named.
+struct StartTimes {
+    wall_clock: Rc<WallClock>,
+    starts: HashMap<EndpointId, KnownStart>,
+}
+
+impl StartTimes {
+    /// Returns when an endpoint started, on the balancer's clock. The Unix time that its entry states is
+    /// compared with the wall clock only once, because that may be stepped later.
+    fn started_at(&mut self, id: EndpointId, stated_ms: u64) -> Timestamp {
+        if stated_ms == 0 {
+            return Timestamp::default();
+        }
+        if let Some(known) = self.starts.get(&id)
+            && known.stated_ms == stated_ms
+        {
+            return known.started_at;
+        }
+        let stated = Timestamp::from_micros(stated_ms.saturating_mul(MICROS_PER_MILLI));
+        let started_at = self.wall_clock.local_time(stated);
+        self.starts.insert(id, KnownStart { stated_ms, started_at });
+        started_at
+    }
+}
+
+/// Converts entries, and keeps the indices of the zones and machine types in them, and the start times.
 pub(super) struct EntryConverter {
+    starts: StartTimes,
     zones: Interner,
     machine_types: Interner,
 }
 
 impl EntryConverter {
     /// Creates a converter that uses the indices of zones and machine types in the settings.
-    pub(super) fn new(config: &Config) -> EntryConverter {
+    pub(super) fn new(config: &Config, wall_clock: Rc<WallClock>) -> EntryConverter {
         EntryConverter {
+            starts: StartTimes { wall_clock, starts: HashMap::new() },
             zones: Interner::new(&config.zones),
             machine_types: Interner::new(&config.machine_types),
         }
@@ -53,14 +88,15 @@
 
     /// Returns the endpoint that an entry describes.
     pub(super) fn convert(&mut self, entry: &EndpointEntry) -> ListedEndpoint {
+        let id = endpoint_id(&entry.uid);
         let info = EndpointInfo {
-            id: endpoint_id(&entry.uid),
+            id,
             state: match entry.state {
                 EntryState::Ready => EndpointState::Ready,
                 EntryState::Draining => EndpointState::Draining,
                 EntryState::Gone => EndpointState::Gone,
             },
-            started_at: Timestamp::from_micros(entry.started_at_ms.saturating_mul(MICROS_PER_MILLI)),
+            started_at: self.starts.started_at(id, entry.started_at_ms),
             zone: self.zones.intern(&entry.zone),
             cell: entry.cell,
             weight: entry.weight.max(0.0),
--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -16,6 +16,7 @@
 use self::backoff::Backoff;
 use self::entries::EntryConverter;
 use self::watch::{Watch, WatchError};
+use crate::clock::WallClock;
 use crate::config::Config;
 use crate::engine::{EngineHandle, ListKind};
 use crate::log::ErrorChain;
@@ -29,8 +30,9 @@
     mut address: watch_channel::Receiver<SocketAddr>,
     engine: EngineHandle,
     subscribe: Rc<Notify>,
+    wall_clock: Rc<WallClock>,
 ) {
-    let mut client = DiscoveryClient::new(&config, engine);
+    let mut client = DiscoveryClient::new(&config, engine, wall_clock);
     client.publish(&config.cached_list, ListKind::Cached);
     if config.settings.discovery != DiscoveryMode::Push {
         subscribe.notified().await;
@@ -70,10 +72,10 @@
 }
 
 impl DiscoveryClient {
-    fn new(config: &Config, engine: EngineHandle) -> DiscoveryClient {
+    fn new(config: &Config, engine: EngineHandle, wall_clock: Rc<WallClock>) -> DiscoveryClient {
         DiscoveryClient {
             engine,
-            converter: EntryConverter::new(config),
+            converter: EntryConverter::new(config, wall_clock),
             revision: config.cached_list.revision,
             backoff: Backoff::new(config.seed),
         }
--- a/src/node/engine/handle.rs
+++ b/src/node/engine/handle.rs
@@ -72,7 +72,7 @@
         self.send(EngineEvent::Balancer(Event::EnterMaintenance(endpoint)));
     }
 
-    /// Allows requests to this endpoint again. It counts as started at `started_at` (Unix time).
+    /// Allows requests to this endpoint again. It counts as started at `started_at`.
     pub fn exit_maintenance(&self, endpoint: EndpointId, started_at: Timestamp) {
         self.upstream.exit_maintenance(endpoint);
         self.send(EngineEvent::Balancer(Event::ExitMaintenance(endpoint, started_at)));
--- a/src/node/engine/mod.rs
+++ b/src/node/engine/mod.rs
@@ -5,7 +5,6 @@
 
 mod actions;
 mod attempts;
-mod clock;
 mod event;
 mod handle;
 mod requests;
@@ -17,11 +16,11 @@
 use mothspool::{Balancer, Event, Request, RequestId, TimerToken};
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use self::clock::Clock;
 pub use self::event::{EngineEvent, FinalAnswer};
 pub use self::handle::{EngineHandle, ListKind};
 use self::requests::{ActiveRequest, RequestTable};
 use self::timers::Timers;
+use crate::clock::Clock;
 use crate::upstream::{UpstreamPool, UpstreamRequest};
 
 /// Owns the balancer and executes its actions.
@@ -40,9 +39,10 @@
 }
 
 impl Engine {
-    /// Creates an engine that runs `balancer` and sends requests through `upstream`.
+    /// Creates an engine that runs `balancer` by `clock` and sends requests through `upstream`.
     pub fn new(
         balancer: Balancer,
+        clock: Clock,
         upstream: Rc<UpstreamPool>,
         handle: EngineHandle,
         subscribe: Rc<Notify>,
@@ -52,7 +52,7 @@
             upstream,
             handle,
             subscribe,
-            clock: Clock::start(),
+            clock,
             timers: Timers::default(),
             requests: RequestTable::new(),
             pending_events: VecDeque::new(),
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -4,6 +4,7 @@
 
 mod admin;
 mod body;
+mod clock;
 mod config;
 mod discovery;
 mod downstream;
--- a/src/node/startup/mod.rs
+++ b/src/node/startup/mod.rs
@@ -17,6 +17,7 @@
 use self::listeners::{Listeners, local_address};
 use crate::admin::{self, AdminService, StateApplier};
 use crate::body::BufferBudget;
+use crate::clock::{Clock, WallClock};
 use crate::config::Config;
 use crate::discovery;
 use crate::downstream::DownstreamServer;
@@ -87,6 +88,7 @@
     lifecycle: Rc<Lifecycle>,
     downstream: Rc<DownstreamServer>,
     engine: EngineHandle,
+    wall_clock: Rc<WallClock>,
 }
 
 impl Node {
@@ -103,13 +105,23 @@
         let (engine_handle, events) = EngineHandle::new(config.seed, upstream.clone());
         let lifecycle = Rc::new(Lifecycle::new(upstream.clone()));
         let balancer = Balancer::new(config.settings.clone(), config.seed)?;
-        let engine = Engine::new(balancer, upstream.clone(), engine_handle.clone(), subscribe.clone());
+        let clock = Clock::start();
+        let wall_clock = Rc::new(WallClock::new(clock));
+        let followed_clock = wall_clock.clone();
+        spawn_local(async move { followed_clock.run_checks().await });
+        let engine = Engine::new(balancer, clock, upstream.clone(), engine_handle.clone(), subscribe.clone());
         spawn_local(engine.run(events));
         let pool = upstream.clone();
         spawn_local(async move { pool.run_idle_sweep().await });
         let (address_sender, address_receiver) = watch::channel(config.discovery);
         spawn_local(reload::reload_on_sighup(path, sighup, address_sender));
-        spawn_local(discovery::follow(config.clone(), address_receiver, engine_handle.clone(), subscribe));
+        spawn_local(discovery::follow(
+            config.clone(),
+            address_receiver,
+            engine_handle.clone(),
+            subscribe,
+            wall_clock.clone(),
+        ));
         let downstream = Rc::new(DownstreamServer::new(
             config.clone(),
             engine_handle.clone(),
@@ -117,7 +129,7 @@
             lifecycle.clone(),
             budget,
         ));
-        Ok(Node { config, shares_listener, lifecycle, downstream, engine: engine_handle })
+        Ok(Node { config, shares_listener, lifecycle, downstream, engine: engine_handle, wall_clock })
     }
 
     /// Starts the admin API, and the tasks that depend on the state that it writes.
@@ -127,12 +139,17 @@
             self.config.name,
             local_address("operator", &listener)?
         );
-        let applier = StateApplier::new(self.lifecycle.clone(), self.engine.clone());
+        let applier = StateApplier::new(self.lifecycle.clone(), self.engine.clone(), self.wall_clock.clone());
         let store = Rc::new(StateStore::open(&std::env::temp_dir(), &self.config.name, applier));
         if self.shares_listener {
             self.lifecycle.require_descriptors();
         }
-        let service = Rc::new(AdminService::new(store.clone(), self.lifecycle.clone(), self.engine.clone()));
+        let service = Rc::new(AdminService::new(
+            store.clone(),
+            self.lifecycle.clone(),
+            self.engine.clone(),
+            self.wall_clock.clone(),
+        ));
         let (lifecycle, connections) = (self.lifecycle.clone(), self.downstream.clone());
         spawn_local(async move {
             HotRestart::register(store, lifecycle, connections).await.run().await;
--- a/src/node/upstream/connect.rs
+++ b/src/node/upstream/connect.rs
@@ -93,7 +93,7 @@
             }
             let shortage = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
                 Ok(Ok(stream)) => {
-                    // A failure is ignored: without `TCP_NODELAY` the connection is slower, but still correct.
+                    // A failure is ignored: without `TCP_NODELAY` the connection is slower, but correct.
                     let _ = stream.set_nodelay(true);
                     return Ok(UpstreamSocket::new(stream, permit));
                 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -29,6 +29,7 @@
 mod slow_peers;
 mod standby;
 mod startup;
+mod stepped_clock;
 mod streamed_responses;
 mod upstream_responses;
 mod version_upgrade;
--- a/tests/support/command.rs
+++ b/tests/support/command.rs
@@ -55,6 +55,14 @@
     line.to_string()
 }
 
+/// Returns a command for the program under test that loads the fault injection library, with these variables
+/// for it.
+pub fn command_with_faults(faults: &[(&str, &str)]) -> Command {
+    let mut command = node_command();
+    command.env("LD_PRELOAD", fault_injection_library()).envs(faults.iter().copied());
+    command
+}
+
 /// Returns the path of the library that injects faults, which `cargo test` builds as an example.
 pub fn fault_injection_library() -> PathBuf {
     let folder = Path::new(env!("CARGO_BIN_EXE_mothspool")).parent().unwrap();
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -172,9 +172,18 @@
 
     /// Starts a node into which the fault injection library is loaded, with these variables for it.
     pub fn with_faults(endpoints: &[Value], faults: &[(&str, &str)]) -> Node {
-        let mut command = node_command();
-        command.env("LD_PRELOAD", fault_injection_library()).envs(faults.iter().copied());
-        Launch::new(command).start(endpoints, |_| {})
+        Launch::new(command_with_faults(faults)).start(endpoints, |_| {})
+    }
+
+    /// Starts a node like [`Node::with_faults`], with the admin API, whose configuration is modified by
+    /// `change`.
+    pub fn with_fault_config(
+        endpoints: &[Value],
+        state_dir: &Path,
+        faults: &[(&str, &str)],
+        change: impl FnOnce(&mut Value),
+    ) -> Node {
+        Launch::with_admin(command_with_faults(faults), state_dir, DEFAULT_SOCKETS).start(endpoints, change)
     }
 
     /// Opens a client connection.
