Keep a state file that cannot be decoded when it is replaced

What operators saw: a process that could not decode the state file at its start counted itself in it and wrote it anew: maintenance and standby ordered before were gone.

Cause: an update writes the known state, the default one after such a file.

Change: the file gets a second name, undecodable-N, before it is replaced; if that fails the update does. The file is synced before it is renamed. The fault library can have storage fail.

--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -10,7 +10,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File, TryLockError};
-use std::io;
+use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -30,6 +30,9 @@
 /// find the same files.
 const FILE_PREFIX: &str = "dunelink";
 
+/// Maximum number of state files that are kept because they cannot be decoded.
+const MAX_UNDECODABLE_FILES: u32 = 100;
+
 /// How long to wait for the lock. Other processes hold it for the duration of one write.
 const LOCK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -75,6 +78,8 @@
     last_read: Cell<Option<FileVersion>>,
     /// Whether the last refresh could not read the file.
     read_failed: Cell<bool>,
+    /// Whether the version that was last read could not be decoded.
+    is_undecodable: Cell<bool>,
 }
 
 impl StateStore {
@@ -90,6 +95,7 @@
             observer: Box::new(observer),
             last_read: Cell::new(None),
             read_failed: Cell::new(false),
+            is_undecodable: Cell::new(false),
         };
         store.refresh();
         store
@@ -102,7 +108,8 @@
 
     /// Reads the file if it was written since the last read. A file that cannot be read or decoded is logged
     /// once and leaves the state unchanged. Without a known state, it is the default one. One that cannot be
-    /// read is read again by the next refresh, one that cannot be decoded when it is written.
+    /// read is read again by the next refresh, one that cannot be decoded when it is written. The latter is kept
+    /// under another name when the state is next written.
     pub fn refresh(&self) {
         match self.read_if_changed() {
             Ok(()) => self.read_failed.set(false),
@@ -124,7 +131,9 @@
         }
         let text = fs::read(&self.path).map_err(StateError::Read)?;
         self.last_read.set(Some(version));
-        match admin_state::decode(&text) {
+        let decoded = admin_state::decode(&text);
+        self.is_undecodable.set(decoded.is_err());
+        match decoded {
             Ok(state) => self.set_state(state),
             Err(error) => self.log_unusable_file(&error),
         }
@@ -151,8 +160,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the file cannot be locked within 400 ms, or cannot be read or written. `change` has no effect
-    /// in that case.
+    /// Fails if the file cannot be locked within 400 ms, or cannot be read or written, or if it cannot be
+    /// decoded and cannot be kept. `change` has no effect in that case.
     pub async fn update(&self, change: impl FnOnce(&mut AdminState)) -> Result<(), StateError> {
         let _lock = self.lock().await?;
         // There is no await from here to the rename, and the lock is held: no other task and no other process
@@ -160,7 +169,11 @@
         self.read_if_changed()?;
         let mut state = self.state();
         change(&mut state);
+        if self.is_undecodable.get() {
+            self.keep_undecodable_file()?;
+        }
         self.write(&state)?;
+        self.is_undecodable.set(false);
         self.set_state(state);
         Ok(())
     }
@@ -183,16 +196,42 @@
         Ok(file)
     }
 
+    /// Gives the state file a second name, under which it stays when the state file is replaced: the orders
+    /// in it may still be wanted.
+    fn keep_undecodable_file(&self) -> Result<(), StateError> {
+        let mut last_error = None;
+        for number in 1..=MAX_UNDECODABLE_FILES {
+            let path = self.path.with_extension(format!("undecodable-{number}"));
+            match fs::hard_link(&self.path, &path) {
+                Ok(()) => {
+                    tracing::warn!("kept the state file that cannot be decoded as {}", path.display());
+                    return Ok(());
+                }
+                Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
+                Err(source) => last_error = Some(StateError::Write { path, source }),
+            }
+        }
+        last_error.map_or(Ok(()), Err)
+    }
+
     /// Writes a new file next to the state file, and renames it to the state file.
     fn write(&self, state: &AdminState) -> Result<(), StateError> {
         let text = admin_state::encode(state)?;
         let path = self.path.with_extension("new");
-        fs::write(&path, text)
+        write_and_sync(&path, &text)
             .and_then(|()| fs::rename(&path, &self.path))
             .map_err(|source| StateError::Write { path, source })
     }
 }
 
+/// Writes a file, and returns once its content is on the disk. A file system may report only then that it
+/// could not be written.
+fn write_and_sync(path: &Path, content: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(content)?;
+    file.sync_all()
+}
+
 /// The release of descriptors to a successor is recorded in a separate file: older versions of the program,
 /// which have no field for it, have to be able to read the state file.
 impl StateStore {
--- a/tests/faults/fault_injection.rs
+++ b/tests/faults/fault_injection.rs
@@ -11,6 +11,7 @@
 //! | `FAULT_FAILED_ACCEPTS` | accepting a connection fails with `ECONNABORTED`, `ENFILE` or `ENOBUFS` |
 //! | `FAULT_FAILED_CONNECTS` | connecting fails with `EADDRNOTAVAIL`, `ENETUNREACH` or `ENOBUFS` |
 //! | `FAULT_FAILED_SOCKETS` | opening a socket fails with `ENFILE`, `ENOBUFS` or `ENOMEM` |
+//! | `FAULT_STORAGE_FILE` | while a file of this name exists, files cannot be written, synced or renamed: `ENOSPC` or `EIO` |
 //! | `FAULT_CLOCK_FILE` | a file with the number of seconds by which the wall clock is off; may be changed while the node runs |
 #![allow(unsafe_code, missing_docs)]
 
@@ -237,6 +238,61 @@
     result
 }
 
+/// Returns whether storage fails at present.
+fn storage_fails() -> bool {
+    // SAFETY: the name is a valid C string, and nothing in the node changes the environment.
+    let path = unsafe { libc::getenv(c"FAULT_STORAGE_FILE".as_ptr()) };
+    // SAFETY: `getenv` returned a valid C string.
+    !path.is_null() && unsafe { libc::access(path, libc::F_OK) } == 0
+}
+
+/// Returns whether a descriptor is a regular file.
+fn is_regular_file(file: c_int) -> bool {
+    // SAFETY: all bit patterns are valid for the structure, which the call fills in.
+    let mut status: libc::stat = unsafe { std::mem::zeroed() };
+    // SAFETY: the structure is valid for writes.
+    unsafe { libc::fstat(file, &mut status) == 0 && status.st_mode & libc::S_IFMT == libc::S_IFREG }
+}
+
+/// # Safety
+///
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(file: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    type Write = unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
+    if storage_fails() && is_regular_file(file) {
+        return fail(&[libc::ENOSPC, libc::EIO]) as ssize_t;
+    }
+    // SAFETY: the C library has a function of this type, and the arguments are the caller's.
+    unsafe { transmute::<usize, Write>(next_address!(c"write"))(file, buffer, length) }
+}
+
+/// # Safety
+///
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
+    type Fsync = unsafe extern "C" fn(c_int) -> c_int;
+    if storage_fails() {
+        return fail(&[libc::ENOSPC, libc::EIO]);
+    }
+    // SAFETY: the C library has a function of this type, and the arguments are the caller's.
+    unsafe { transmute::<usize, Fsync>(next_address!(c"fsync"))(file) }
+}
+
+/// # Safety
+///
+/// As for the function of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn rename(from: *const libc::c_char, to: *const libc::c_char) -> c_int {
+    type Rename = unsafe extern "C" fn(*const libc::c_char, *const libc::c_char) -> c_int;
+    if storage_fails() {
+        return fail(&[libc::ENOSPC, libc::EIO]);
+    }
+    // SAFETY: the C library has a function of this type, and the arguments are the caller's.
+    unsafe { transmute::<usize, Rename>(next_address!(c"rename"))(from, to) }
+}
+
 /// Reads the number of seconds by which the wall clock is off. Uses system calls that don't need the time.
 fn wall_clock_offset_seconds() -> i64 {
     // SAFETY: the name is a valid C string, and nothing in the node changes the environment.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod deadlines;
 mod discovery;
 mod endpoint_lists;
+mod failing_storage;
 mod failing_system_calls;
 mod forwarding;
 mod hot_restart;
--- a/tests/unit/state_store.rs
+++ b/tests/unit/state_store.rs
@@ -144,6 +144,22 @@
     assert!(applied.states.borrow().is_empty());
 }
 
+/// Guards against orders that are lost because the file that has them is overwritten.
+#[test]
+fn a_file_that_cannot_be_decoded_is_kept_when_it_is_replaced() {
+    let folder = TempFolder::new();
+    let path = |extension: &str| folder.0.join(format!("dunelink-n0.{extension}"));
+    for (number, content) in [(1, &STATE_FILE[..STATE_FILE.len() / 2]), (2, ""), (3, "{\"version\":9}")] {
+        fs::write(path("json"), content).unwrap();
+        let (store, _) = open(&folder);
+        update(&store, |state| state.standby = true).unwrap();
+        let kept = fs::read_to_string(path(&format!("undecodable-{number}"))).unwrap();
+        assert_eq!(kept, content);
+        update(&store, |state| state.standby = false).unwrap();
+        assert!(!path(&format!("undecodable-{}", number + 1)).exists());
+    }
+}
+
 #[test]
 fn reports_why_a_file_cannot_be_decoded() {
     let decode_error = |text: &str| admin_state::decode(text.as_bytes()).unwrap_err();
