--- a/src/node/startup/listeners.rs
+++ b/src/node/startup/listeners.rs
@@ -1,11 +1,20 @@
 //! The listening sockets of the node.
 
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
 
 use super::StartError;
 use crate::config::Config;
+use crate::net::is_local_shortage;
+
+/// How long a socket that cannot be opened is tried again. A process has to be ready within 6 s.
+const SHORTAGE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which it is tried again.
+const SHORTAGE_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The listening sockets of the node.
 pub struct Listeners {
@@ -34,9 +43,24 @@
     }
 }
 
-/// Listens on `address`. `field` is the field of the configuration for this address, for the error.
+/// Listens on `address`, and tries again for a while if the machine lacks something for a socket. `field` is
+/// the field of the configuration for this address, for the error.
 async fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Listen { field, address, source })
+    let deadline = Instant::now() + SHORTAGE_TIMEOUT;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error) if is_momentary(&error) && Instant::now() < deadline => {
+                sleep(SHORTAGE_RETRY_INTERVAL).await;
+            }
+            bound => return bound.map_err(|source| StartError::Listen { field, address, source }),
+        }
+    }
+}
+
+/// Returns whether a socket may be opened a moment later. An address that is not available stays so: it is
+/// not one of this machine.
+fn is_momentary(error: &io::Error) -> bool {
+    is_local_shortage(error) && error.kind() != io::ErrorKind::AddrNotAvailable
 }
 
 /// Returns the local address of a listener. `field` is the field of the configuration for its address, for
--- a/tests/node/failing_system_calls.rs
+++ b/tests/node/failing_system_calls.rs
@@ -90,3 +90,14 @@
 fn sockets_that_cannot_be_opened_lose_no_request() {
     expect_all_served(&[("FAULT_FAILED_SOCKETS", "60")]);
 }
+
+/// Guards against a process that does not start because the machine has no socket for it at that moment.
+#[test]
+fn a_node_starts_although_sockets_cannot_be_opened_at_once() {
+    let upstream = ScriptedEndpoint::new(|_, _| ok("done"));
+    for seed in ["1", "2", "3"] {
+        let faults = [("FAULT_SEED", seed), ("FAULT_FAILED_SOCKETS", "80")];
+        let node = Node::with_faults(&[ready_endpoint("a", &upstream)], &faults);
+        assert_eq!(node.health(), 200);
+    }
+}
--- a/tests/node/paused_responses.rs
+++ b/tests/node/paused_responses.rs
@@ -49,8 +49,8 @@
         let begin = [self.head().into_bytes(), self.encode(first, false)].concat();
         let pieces = vec![begin, self.encode(rest, true)];
         match self {
-            Framing::UntilClose => Reply::SendInPiecesAndClose(pieces, pause),
-            Framing::Chunked | Framing::StatedLength => Reply::SendInPieces(pieces, pause),
+            Framing::UntilClose => Reply::SendWithPausesAndClose(pieces, pause),
+            Framing::Chunked | Framing::StatedLength => Reply::SendWithPauses(pieces, pause),
         }
     }
 }
--- a/tests/support/upstream.rs
+++ b/tests/support/upstream.rs
@@ -23,6 +23,10 @@
     SendInPieces(Vec<Vec<u8>>, Duration),
     /// Writes these pieces, pauses after each, and closes the connection.
     SendInPiecesAndClose(Vec<Vec<u8>>, Duration),
+    /// Writes these pieces with a pause between them, and reads the next request.
+    SendWithPauses(Vec<Vec<u8>>, Duration),
+    /// Writes these pieces with a pause between them, and closes the connection.
+    SendWithPausesAndClose(Vec<Vec<u8>>, Duration),
     /// Writes nothing and reads the next request.
     Never,
 }
@@ -146,11 +150,25 @@
                 send_in_pieces(&mut stream, pieces, pause);
                 break;
             }
+            Reply::SendWithPauses(pieces, pause) => send_with_pauses(&mut stream, &pieces, pause),
+            Reply::SendWithPausesAndClose(pieces, pause) => {
+                send_with_pauses(&mut stream, &pieces, pause);
+                break;
+            }
             Reply::Never => {}
         }
     }
 }
 
+fn send_with_pauses(stream: &mut TcpStream, pieces: &[Vec<u8>], pause: Duration) {
+    for (number, piece) in pieces.iter().enumerate() {
+        if number > 0 {
+            thread::sleep(pause);
+        }
+        drop(stream.write_all(piece));
+    }
+}
+
 fn send_in_pieces(stream: &mut TcpStream, pieces: Vec<Vec<u8>>, pause: Duration) {
     for piece in pieces {
         drop(stream.write_all(&piece));
