Let a client read its answer to the end although it has sent more

Cause: poll_shutdown closes over unread bytes unless the answer was to an invalid request, and the reset drops what the kernel has not sent.

Change: a socket with unread data lingers as well. The bound is a second and the time in which a client that reads 64,000 bytes a second has read what the kernel may hold.

--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -19,10 +19,13 @@
 use super::receive_queue::{ReceiveQueue, has_unread_bytes};
 use super::stream;
 
-/// Maximum time that a client that is still sending has to read the response that rejects its request, before
-/// the connection is closed. Closing a socket with unread bytes resets the connection, and the reset may
-/// discard the response.
+/// Maximum time that a client that is still sending, or has sent what nobody reads, has to read the last
+/// response, before the connection is closed, in addition to the time that it takes for what the kernel may
+/// not have sent. Closing a socket with unread bytes resets the connection, and the reset may discard the
+/// response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rate at which clients read at least, in bytes a second.
+const CLIENT_READ_RATE: f64 = 64_000.0;
 /// Maximum number of bytes that are read from a client and discarded, behind a request or after the last
 /// response.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
@@ -47,6 +50,8 @@
     /// Whether bytes of the client were discarded, so that no further request can be read.
     has_discarded_input: Cell<bool>,
     write_blocked_since: Cell<Option<Instant>>,
+    /// Number of bytes written to the socket.
+    bytes_written: Cell<usize>,
 }
 
 impl SocketObserver {
@@ -150,7 +155,7 @@
     }
 
     /// Makes the socket linger after the last response: it reads and discards what the client still sends,
-    /// for at most [`LINGER_TIMEOUT`].
+    /// for a limited time.
     pub fn linger(&self) {
         self.should_linger.set(true);
     }
@@ -162,6 +167,9 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         let result = stream::poll_write(self.stream.as_ref(), cx, write);
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.bytes_written.set(self.bytes_written.get().saturating_add(*bytes));
+        }
         let blocked_since = self.write_blocked_since.get().unwrap_or_else(Instant::now);
         self.write_blocked_since.set(result.is_pending().then_some(blocked_since));
         result
@@ -206,11 +214,14 @@
 }
 
 impl Lingering {
-    fn new() -> Lingering {
-        Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT)), discard: InputDiscard::new() }
+    /// Begins to linger on a socket to which `bytes_written` bytes were written.
+    fn new(bytes_written: usize) -> Lingering {
+        let unsent_bytes = bytes_written.min(2 * SEND_BUFFER_BYTES);
+        let reading_time = Duration::from_secs_f64(unsent_bytes as f64 / CLIENT_READ_RATE);
+        Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT + reading_time)), discard: InputDiscard::new() }
     }
 
-    /// Discards data until the client has closed its side or [`LINGER_TIMEOUT`] has passed.
+    /// Discards data until the client has closed its side or has had the time to read the response.
     fn poll(&mut self, cx: &mut Context<'_>, observer: &SocketObserver) -> Poll<()> {
         if self.timer.as_mut().poll(cx).is_ready() {
             return Poll::Ready(());
@@ -240,6 +251,7 @@
             should_linger: Cell::new(false),
             has_discarded_input: Cell::new(false),
             write_blocked_since: Cell::new(None),
+            bytes_written: Cell::new(0),
         });
         (DownstreamSocket { reader, observer: observer.clone(), lingering: None }, observer)
     }
@@ -280,11 +292,11 @@
         let DownstreamSocket { observer, lingering, .. } = self.get_mut();
         if lingering.is_none() {
             observer.shut_down_write()?;
-            if !observer.should_linger.get() {
+            if !observer.should_linger.get() && !observer.has_unread_data() {
                 return Poll::Ready(Ok(()));
             }
         }
-        let lingering = lingering.get_or_insert_with(Lingering::new);
+        let lingering = lingering.get_or_insert_with(|| Lingering::new(observer.bytes_written.get()));
         lingering.poll(cx, observer).map(Ok)
     }
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod client_disconnects;
+mod closes_over_unread_requests;
 mod configuration;
 mod configuration_errors;
 mod connection_limits;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! A seeded soak: a real node under injected faults, with endpoints, discovery and clients that keep to the
 //! protocol, and a judge that knows only what these saw.
 //!
-//! By hand, for example: `SOAK_SEEDS=1..51 SOAK_SECONDS=20 cargo test --release --test soak -- --nocapture`
+//! By hand, for example, after `cargo build --examples`:
+//! `SOAK_SEEDS=1..51 SOAK_SECONDS=20 cargo test --test soak -- --nocapture`
 
 #[path = "../support/mod.rs"]
 #[allow(dead_code, reason = "the tests of the node use more of it")]
