Count the time of a request from its arrival, also behind others

Cause: the time of a request began when hyper handed it on, after the answer to the one before it.

Change: the socket records when what was read last had arrived, including what was left in the kernel behind a waiting request. The balancer, the told deadline and the end of the request count from that.

Result: the_time_of_a_request_includes_its_wait_behind_others_on_its_ connection failed before (answer 29 after 1.07 s) and passes; the opposite test passes as before.

--- a/src/node/body/request.rs
+++ b/src/node/body/request.rs
@@ -209,7 +209,7 @@
         };
         // Nobody polls for more until an attempt begins to send the body.
         body.pause();
-        let reception = ReceptionClock::new(body.received(), Instant::now());
+        let reception = ReceptionClock::new(body.received(), observer.last_arrival());
         Ok(RequestBody::Streamed(Rc::new(StreamingRequestBody {
             prefix: RefCell::new(prefix),
             rest: RefCell::new(body),
--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -151,12 +151,15 @@
         check_framing(&parts.headers, observer)?;
         let head = RequestHead::parse(parts, !body.is_end_stream(), &self.config)?;
         let body = RequestBody::read(body, body_deadline, &self.buffer_budget, observer).await?;
-        let buffered_at = Instant::now();
-        let claimed_id = self.request_ids.claim(head.client_request_id(), head.idempotency(), buffered_at);
+        // The request may have waited behind another one on its connection.
+        let buffered_at = observer.last_arrival();
+        let now = Instant::now();
+        let claimed_id = self.request_ids.claim(head.client_request_id(), head.idempotency(), now);
         let claimed_id = claimed_id.ok_or(RequestError::DuplicateRequestId)?;
         let id = self.engine.next_request_id();
         notify_engine_of_upload(&body, id, &self.engine);
-        let request = head.balancer_request(id);
+        let waited = now.saturating_duration_since(buffered_at);
+        let request = head.balancer_request(id, waited);
         let upstream_request = Rc::new(head.into_upstream_request(body, buffered_at));
         Ok(AcceptedRequest { request, upstream_request, claimed_id })
     }
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -95,12 +95,12 @@
         &self.client_request_id
     }
 
-    /// Returns the request as the balancer gets it.
-    pub fn balancer_request(&self, id: RequestId) -> mothspool::Request {
+    /// Returns the request as the balancer gets it. `waited` is the time since the node received it.
+    pub fn balancer_request(&self, id: RequestId, waited: Duration) -> mothspool::Request {
         mothspool::Request {
             id,
             class: self.class.index,
-            remaining: self.timeout,
+            remaining: self.timeout.saturating_sub(waited),
             expected_work: self.expected_work,
             affinity_key: self.affinity_key,
             tenant: self.tenant,
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -35,6 +36,9 @@
 /// not be received: the kernel keeps half of the buffer for its bookkeeping, and more if the bytes came in
 /// small pieces.
 const UNREAD_INPUT_DIVISOR: usize = 4;
+/// Number of bytes that can be unread behind a request without being discarded, with the kernel's usual
+/// buffer. What is read after so many bytes arrived later.
+const MAX_UNREAD_BYTES: usize = 32 << 10;
 /// Interval of the checks for so many unread bytes. No attempt may begin 100 ms after a client's close.
 const EXCESS_INPUT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Size of the kernel's send buffer that the node requests for a client's socket, in bytes. The kernel
@@ -52,6 +56,12 @@
     write_blocked_since: Cell<Option<Instant>>,
     /// Number of bytes written to the socket.
     bytes_written: Cell<usize>,
+    /// When the kernel had received the bytes that were read last, or an earlier time.
+    last_arrival: Cell<Instant>,
+    /// Since when the kernel has had bytes that nobody reads, if that is known.
+    unread_since: Cell<Option<Instant>>,
+    /// Number of bytes read since then.
+    read_since: Cell<usize>,
 }
 
 impl SocketObserver {
@@ -86,12 +96,15 @@
     /// Until then, [`SocketObserver::closed`] would not notice the close: the kernel receives it after all
     /// bytes before it, and does not receive more than its buffer takes.
     pub async fn discard_excess_input(&self) {
-        let stream = self.stream.as_ref();
         loop {
             // Nothing is unread behind most requests, so that this waits for as long as they do.
-            if stream.readable().await.is_err() {
+            if self.unread_data().await.is_err() {
                 return;
             }
+            if self.unread_since.get().is_none() {
+                self.unread_since.set(Some(Instant::now()));
+                self.read_since.set(0);
+            }
             // Requests that are answered sooner are served with all that follows them.
             sleep(EXCESS_INPUT_CHECK_INTERVAL).await;
             if self.has_excess_input() {
@@ -103,6 +116,39 @@
         poll_fn(|cx| discard.poll(cx, self)).await;
     }
 
+    /// Waits until the kernel has bytes to read, the end of the stream or an error.
+    async fn unread_data(&self) -> io::Result<()> {
+        let stream = self.stream.as_ref();
+        loop {
+            stream.readable().await?;
+            // Readiness may be left over from a read that has drained the socket. It is cleared by an operation
+            // that would block.
+            match stream
+                .try_io(Interest::READABLE, || SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
+            {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                peeked => return peeked.map(drop),
+            }
+        }
+    }
+
+    /// Returns the time by which the machine had received the bytes that were read last. If they were left in
+    /// the kernel for a while, it is when the first of what was left there was noticed.
+    pub fn last_arrival(&self) -> Instant {
+        self.last_arrival.get()
+    }
+
+    /// Records the result of a read.
+    fn record_read(&self, bytes: usize, is_drained: bool) {
+        if bytes > 0 {
+            self.last_arrival.set(self.unread_since.get().unwrap_or_else(Instant::now));
+        }
+        self.read_since.set(self.read_since.get() + bytes);
+        if is_drained || self.read_since.get() >= MAX_UNREAD_BYTES {
+            self.unread_since.set(None);
+        }
+    }
+
     /// Returns whether so much is unread that the client's close may not be received behind it.
     fn has_excess_input(&self) -> bool {
         let stream = self.stream.as_ref();
@@ -252,6 +298,9 @@
             has_discarded_input: Cell::new(false),
             write_blocked_since: Cell::new(None),
             bytes_written: Cell::new(0),
+            last_arrival: Cell::new(Instant::now()),
+            unread_since: Cell::new(None),
+            read_since: Cell::new(0),
         });
         (DownstreamSocket { reader, observer: observer.clone(), lingering: None }, observer)
     }
@@ -261,6 +310,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
         let result = stream::poll_read(self.reader.as_ref(), cx, buf);
+        self.observer.record_read(buf.filled().len() - filled_before, result.is_pending());
         self.observer.framer.borrow_mut().push(&buf.filled()[filled_before..]);
         result
     }
--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -183,3 +183,56 @@
         });
     }
 }
+
+/// Number of requests that a client sends at once.
+const PIPELINED: usize = 60;
+
+/// Guards against requests that each get their full time anew when the one before them on their connection is
+/// answered.
+#[test]
+fn the_time_of_a_request_includes_its_wait_behind_others_on_its_connection() {
+    const DEADLINE: Duration = Duration::from_millis(500);
+    const SERVICE_TIME: Duration = Duration::from_millis(35);
+    let (sender, told) = std::sync::mpsc::channel();
+    let upstream = ScriptedEndpoint::new(move |_, request| {
+        let told: f64 = request.header("req-deadline").unwrap().parse().unwrap();
+        sender.send((Instant::now(), Duration::from_secs_f64(told))).unwrap();
+        Reply::SendDelayed(Vec::new(), SERVICE_TIME, response(200, "", "done"))
+    });
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let mut client = node.client();
+    // Some of the requests don't fit into the node's buffer, and wait in the kernel.
+    let padding = format!("X-Padding: {}\r\n", "x".repeat(600));
+    let requests = (0..PIPELINED).flat_map(|_| request("GET", "/view/1", "0.5", &padding, ""));
+    client.send(&requests.collect::<Vec<u8>>());
+    let sent_at = Instant::now();
+    let mut served = 0;
+    for number in 0..PIPELINED {
+        let response = client.receive();
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed <= DEADLINE + MAX_LATENESS, "answer {number} comes after {elapsed:?}");
+        served += usize::from(response.status() == 200);
+    }
+    assert!(served >= 5, "only {served} were served in time");
+    for (at, told) in told.try_iter() {
+        let left = DEADLINE.saturating_sub(at.duration_since(sent_at));
+        assert!(told <= left + TOLD_TIME_TOLERANCE, "the endpoint is told {told:?} of {left:?}");
+    }
+}
+
+/// Guards against the opposite: a request on a connection that was used before gets all of its time.
+#[test]
+fn a_request_that_follows_an_answer_has_its_full_time() {
+    const DEADLINE: Duration = Duration::from_millis(600);
+    let upstream = ScriptedEndpoint::new(|_, _| {
+        Reply::SendDelayed(Vec::new(), Duration::from_millis(400), response(200, "", "done"))
+    });
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let mut client = node.client();
+    for _ in 0..5 {
+        let request = request("POST", "/order/1", &DEADLINE.as_secs_f64().to_string(), "", "xyz");
+        assert_eq!(client.exchange(&request).status(), 200);
+        let told = upstream.next_request().1.header("req-deadline").unwrap().parse().unwrap();
+        assert!(Duration::from_secs_f64(told) + Duration::from_millis(100) > DEADLINE, "told {told}");
+    }
+}
