--- a/src/node/clock/monotonic.rs
+++ b/src/node/clock/monotonic.rs
@@ -5,9 +5,9 @@
 use mothspool::Timestamp;
 use tokio::time::Instant;
 
-/// Time of the clock when it starts. Times before the start have to be representable too: endpoints may have
-/// been running for years.
-const START_TIME: Duration = Duration::from_secs(50 * 365 * 24 * 60 * 60);
+/// Time of the clock when it starts: 1000 years. All Unix times of the past have to be representable before
+/// it, and none of them may be the start of the clock, which stands for an unknown time.
+const START_TIME: Duration = Duration::from_secs(1000 * 365 * 24 * 60 * 60);
 
 /// The monotonic clock of the process, as timestamps.
 #[derive(Clone, Copy)]
