Leave a late call to discovery open beside the next one

Cause: each call is given up after 1 s for the next one.

Change: a late call stays open beside the next one, and the first answer is the watch. Intervals between calls are as before.

--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! Discovery: receives endpoint lists on a watch and passes them to the engine.
 
 mod backoff;
+mod calls;
 mod entries;
 mod parser;
 mod watch;
@@ -11,11 +12,12 @@
 
 use mothspool::DiscoveryMode;
 use tokio::sync::{Notify, watch as watch_channel};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep};
 
 use self::backoff::Backoff;
+use self::calls::Calls;
 use self::entries::EntryConverter;
-use self::watch::{Watch, WatchError};
+use self::watch::WatchError;
 use crate::clock::WallClock;
 use crate::config::Config;
 use crate::engine::{EngineHandle, ListKind};
@@ -43,15 +45,21 @@
             biased;
             // The old address accepts no new watch and ends the open one, so the change takes precedence.
             () = address_changed(&mut address) => {
+                client.calls = Calls::default();
                 client.backoff.reset();
                 continue;
             }
             Err(error) = client.watch(current) => error,
         };
         client.record_failure(&error);
-        // A change of the address ends the delay, which is due to a failure at the old address.
+        // A change of the address ends the delay, which is due to a failure at the old address. So does an
+        // answer to the late call, which the next watch uses.
         let delay = client.backoff.next_delay(started.elapsed());
-        let _ = timeout(delay, address_changed(&mut address)).await;
+        tokio::select! {
+            () = address_changed(&mut address) => {}
+            () = client.calls.late_answer() => {}
+            () = sleep(delay) => {}
+        }
     }
 }
 
@@ -69,6 +77,7 @@
     /// Revision of the endpoint list that the engine has.
     revision: u64,
     backoff: Backoff,
+    calls: Calls,
 }
 
 impl DiscoveryClient {
@@ -78,12 +87,13 @@
             converter: EntryConverter::new(config, wall_clock),
             revision: config.cached_list.revision,
             backoff: Backoff::new(config.seed),
+            calls: Calls::default(),
         }
     }
 
     /// Opens a watch and applies its endpoint lists until it fails.
     async fn watch(&mut self, address: SocketAddr) -> Result<Infallible, WatchError> {
-        let mut watch = Watch::open(address, self.revision).await?;
+        let mut watch = self.calls.open(address, self.revision).await?;
         // An open watch counts as a success even without a list: it may send none until something changes.
         self.backoff.reset();
         loop {
--- a/src/node/discovery/watch.rs
+++ b/src/node/discovery/watch.rs
@@ -24,8 +24,11 @@
 /// Time limit for opening a connection. After the address of discovery has changed, a watch has to be open
 /// within 4 s, even if a second try is needed.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for the head of the response, for the same reason as [`CONNECT_TIMEOUT`].
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a call without a response counts as late, so that another one is made beside it. It is
+/// short for the same reason as [`CONNECT_TIMEOUT`].
+pub(super) const LATE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for the head of the response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without a complete list or empty line after which a watch counts as broken; discovery sends a line
 /// every 2 s.
 ///
@@ -62,11 +65,13 @@
         /// Error of the connection.
         source: hyper::Error,
     },
-    /// The head of the response was not received within [`RESPONSE_TIMEOUT`].
-    #[error("no response from {address} within {RESPONSE_TIMEOUT:?}")]
+    /// The head of the response was not received within this time.
+    #[error("no response from {address} within {timeout:?}")]
     ResponseTimedOut {
         /// Address of discovery.
         address: SocketAddr,
+        /// Time limit.
+        timeout: Duration,
     },
     /// The status of the response is not 200.
     #[error("{address} responded with status {status}")]
@@ -125,7 +130,7 @@
             .body(Empty::new())?;
         let response = timeout(RESPONSE_TIMEOUT, sender.send_request(request))
             .await
-            .map_err(|_| WatchError::ResponseTimedOut { address })?
+            .map_err(|_| WatchError::ResponseTimedOut { address, timeout: RESPONSE_TIMEOUT })?
             .map_err(request_error)?;
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status { address, status: response.status() });
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -1,5 +1,6 @@
 //! The watch on discovery: reconnects, silent watches and endless lists.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::support::*;
@@ -96,3 +97,33 @@
         "sequential requests used too many connections, numbered up to {highest_connection:?}"
     );
 }
+
+/// Guards against discovery that is never heard because it answers each call later than the node waits.
+#[test]
+fn discovery_that_answers_late_is_heard() {
+    const LATENESS: Duration = Duration::from_millis(1500);
+    let (known, other) =
+        (ScriptedEndpoint::new(|_, _| ok("known")), ScriptedEndpoint::new(|_, _| ok("other")));
+    let node = Node::start(&[ready_endpoint("a", &known)]);
+    let list = list_message(60, true, &[ready_endpoint("b", &other)]).to_string();
+    let discovery = node.discovery.try_clone().unwrap();
+    let told_at = Instant::now();
+    thread::spawn(move || {
+        for stream in discovery.incoming() {
+            let list = list.clone();
+            thread::spawn(move || {
+                let mut connection = Connection::from_stream(stream.unwrap());
+                connection.receive();
+                thread::sleep(LATENESS);
+                connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                connection.send(&chunk(format!("{list}\n").as_bytes()));
+                loop {
+                    connection.send(&chunk(b"\n"));
+                    thread::sleep(Duration::from_millis(500));
+                }
+            });
+        }
+    });
+    wait_until("the list applies", || serves_every_class(&node, "other"));
+    assert!(told_at.elapsed() < Duration::from_secs(6), "{:?}", told_at.elapsed());
+}
