Give endpoints that send second answers more time for them

Cause: a connection rests 10 ms, whatever its endpoint has sent before.

Change: bytes on a resting connection mark its endpoint for a minute. Its connections then rest 100 ms, and requests that must not run twice get new ones.

The cost in connections was not measured.

--- a/src/node/net/upstream_socket.rs
+++ b/src/node/net/upstream_socket.rs
@@ -24,6 +24,10 @@
     has_received_data: Cell<bool>,
     /// Notified when bytes were read.
     data_notify: Notify,
+    /// Whether no bytes are expected, as no request is open.
+    is_idle: Cell<bool>,
+    /// Whether bytes were read that were not expected.
+    has_surplus: Cell<bool>,
     _permit: ConnectionPermit,
 }
 
@@ -35,6 +39,8 @@
             bytes_written: Cell::new(0),
             has_received_data: Cell::new(false),
             data_notify: Notify::new(),
+            is_idle: Cell::new(false),
+            has_surplus: Cell::new(false),
             _permit: permit,
         }
     }
@@ -56,6 +62,19 @@
     /// earlier response.
     pub fn clear_received(&self) {
         self.has_received_data.set(false);
+        self.is_idle.set(false);
+    }
+
+    /// Records that the response is complete: further bytes are surplus, until
+    /// [`UpstreamSocket::clear_received`] is called for the next request.
+    pub fn expect_no_data(&self) {
+        self.is_idle.set(true);
+    }
+
+    /// Returns whether the endpoint has sent surplus bytes, read or unread.
+    pub fn has_surplus(&self) -> bool {
+        let has_unread = || ReceiveQueue::of(&self.stream.borrow().0) == ReceiveQueue::Data;
+        self.has_surplus.get() || self.is_idle.get() && has_unread()
     }
 
     /// Returns whether the connection is open and the kernel has received nothing that is still to be read.
@@ -81,6 +100,7 @@
         let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
         if buf.filled().len() > filled_before {
             self.0.has_received_data.set(true);
+            self.0.has_surplus.set(self.0.has_surplus.get() || self.0.is_idle.get());
             self.0.data_notify.notify_one();
         }
         result
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -113,6 +113,11 @@
         self.sender.is_closed()
     }
 
+    /// Returns whether the endpoint has sent bytes since the last response.
+    pub fn has_surplus(&self) -> bool {
+        self.socket.has_surplus()
+    }
+
     /// Returns whether another request can be sent on the connection. A connection on which the endpoint has
     /// sent bytes since the last response cannot be reused: they would be read as the response to the next
     /// request.
@@ -124,6 +129,7 @@
     /// time. Returns whether hyper was ready within [`READY_TIMEOUT`].
     pub async fn become_idle(&mut self) -> bool {
         let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        self.socket.expect_no_data();
         self.idle_since = Instant::now();
         matches!(ready, Ok(Ok(())))
     }
--- a/src/node/upstream/idle.rs
+++ b/src/node/upstream/idle.rs
@@ -10,6 +10,11 @@
 /// 7 ms after a response. These have to arrive before the next request is written, or they would be read as
 /// its response.
 const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(10);
+/// The same for an endpoint that has sent surplus bytes. Its kernel may hold them back until the response is
+/// acknowledged, which takes up to 40 ms and the way there and back.
+const MIN_IDLE_AFTER_SURPLUS: Duration = Duration::from_millis(100);
+/// How long an endpoint counts as one that sends surplus bytes.
+const SURPLUS_MEMORY: Duration = Duration::from_secs(60);
 /// Time since the sending of a request after which the endpoint counts as unresponsive, if it has sent no
 /// response at all since then. Such an endpoint may be unreachable.
 const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -22,6 +27,8 @@
     /// Maximum idle time for this request. Connections that have been idle for longer are left to other
     /// requests, and this one gets a new connection.
     pub max_idle_for_request: Duration,
+    /// Whether this request must not be executed twice.
+    pub non_idempotent: bool,
 }
 
 /// The idle connections to one incarnation of an endpoint, and the time of its last response.
@@ -29,18 +36,26 @@
     /// Ordered by the time at which they became idle, the oldest first.
     connections: Vec<Connection>,
     last_response_at: Instant,
+    /// When the endpoint was last found to have sent surplus bytes.
+    surplus_at: Option<Instant>,
 }
 
 impl IdleConnections {
     /// Creates an empty set of connections. The endpoint counts as having responded just now.
     pub fn new() -> IdleConnections {
-        IdleConnections { connections: Vec::new(), last_response_at: Instant::now() }
+        IdleConnections { connections: Vec::new(), last_response_at: Instant::now(), surplus_at: None }
     }
 
-    /// Takes the connection that became idle last, among those that have been idle for at least
-    /// [`MIN_IDLE_BEFORE_REUSE`] and can be reused. Closes the broken and expired connections that it finds.
+    /// Takes the connection that became idle last, among those that have been idle for long enough and can be
+    /// reused. Closes the broken and expired connections that it finds. Returns none for a request that must
+    /// not be executed twice if the endpoint sends surplus bytes: a surplus rejection would have it sent again.
     pub fn take(&mut self, limits: ReuseLimits) -> Option<Connection> {
-        let is_idle_long_enough = |c: &Connection| c.idle_for() >= MIN_IDLE_BEFORE_REUSE;
+        self.notice_surplus();
+        if limits.non_idempotent && self.sends_surplus() {
+            return None;
+        }
+        let min_idle = if self.sends_surplus() { MIN_IDLE_AFTER_SURPLUS } else { MIN_IDLE_BEFORE_REUSE };
+        let is_idle_long_enough = |c: &Connection| c.idle_for() >= min_idle;
         while let Some(position) = self.connections.iter().rposition(is_idle_long_enough) {
             if self.connections[position].idle_for() >= limits.max_idle_for_request {
                 return None;
@@ -53,6 +68,18 @@
         None
     }
 
+    /// Records whether surplus bytes have arrived on any of the connections.
+    fn notice_surplus(&mut self) {
+        if self.connections.iter().any(Connection::has_surplus) {
+            self.surplus_at = Some(Instant::now());
+        }
+    }
+
+    /// Returns whether the endpoint has sent surplus bytes lately.
+    fn sends_surplus(&self) -> bool {
+        self.surplus_at.is_some_and(|at| at.elapsed() < SURPLUS_MEMORY)
+    }
+
     /// Adds a connection that has just become idle.
     pub fn add(&mut self, connection: Connection) {
         self.connections.push(connection);
@@ -77,6 +104,7 @@
 
     /// Closes the connections that have been idle for `max_idle` or were closed by the endpoint.
     pub fn sweep(&mut self, max_idle: Duration) {
+        self.notice_surplus();
         self.connections.retain(|c| c.idle_for() < max_idle && !c.is_closed());
     }
 
--- a/src/node/upstream/pool.rs
+++ b/src/node/upstream/pool.rs
@@ -146,7 +146,7 @@
     ) -> Option<ConnectionLease> {
         let max_idle_for_request =
             if non_idempotent { self.stale_connections.max_idle(true) } else { Duration::MAX };
-        let limits = ReuseLimits { max_idle: self.max_idle(), max_idle_for_request };
+        let limits = ReuseLimits { max_idle: self.max_idle(), max_idle_for_request, non_idempotent };
         let connection = self.endpoints.borrow_mut().idle_mut(endpoint)?.take(limits)?;
         let origin = ConnectionOrigin::Reused { idle_for: connection.idle_for() };
         Some(ConnectionLease { pool: self.clone(), endpoint, connection, origin })
--- a/tests/node/upstream_responses.rs
+++ b/tests/node/upstream_responses.rs
@@ -205,3 +205,25 @@
     drop(stream);
     assert_eq!(client.receive().status(), 502);
 }
+
+/// Guards against surplus responses that are later still, once the endpoint is known to send such: they were
+/// served to other requests.
+#[test]
+fn an_endpoint_that_sent_surplus_bytes_gets_more_time_for_them() {
+    const SHORT: Duration = Duration::from_millis(15);
+    const LONG: Duration = Duration::from_millis(60);
+    let upstream = ScriptedEndpoint::new(|number, _| {
+        let delay = if number == 0 { SHORT } else { LONG };
+        Reply::SendDelayed(response(200, "", &number.to_string()), delay, response(200, "", "stale"))
+    });
+    let node = Node::start(&[ready_endpoint("a", &upstream)]);
+    let mut client = node.client();
+    let mut bodies = Vec::new();
+    for _ in 0..8 {
+        bodies.push(client.exchange(&view_request()).body);
+        // Longer than an idle connection rests for an endpoint that is not known to send surplus bytes.
+        thread::sleep(Duration::from_millis(40));
+    }
+    let expected: Vec<Vec<u8>> = (0..8).map(|number: usize| number.to_string().into_bytes()).collect();
+    assert_eq!(bodies, expected);
+}
