Keep exits from maintenance for an hour longer instead of by number

A step is by an hour at most, so the retention is 600 s and an hour now, and the rule is the old one.

--- a/src/node/discovery/calls.rs
+++ b/src/node/discovery/calls.rs
@@ -1,7 +1,7 @@
 //! The calls to discovery that open a watch: one at a time, or two while the first one is late.
 //!
-//! Discovery that does not answer may be unreachable, so a call that is late is followed by another one. It may
-//! also be slow, and would never be heard if each late call were given up for the next.
+//! Discovery that does not answer may be unreachable, so a call that is late is followed by another one. It
+//! may also be slow, and would never be heard if each late call were given up for the next.
 
 use std::future::{Future, pending};
 use std::net::SocketAddr;
--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -1,7 +1,7 @@
 //! The socket of a client's connection, with an observer of what hyper reads from it and writes to it.
 
 use std::cell::{Cell, RefCell};
-use std::future::{Future, poll_fn};
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -14,22 +14,13 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, sleep};
 
 use super::framing::MessageFramer;
+use super::lingering::{InputDiscard, Lingering};
 use super::receive_queue::{ReceiveQueue, has_unread_bytes};
 use super::stream;
 
-/// Maximum time that a client that is still sending, or has sent what nobody reads, has to read the last
-/// response, before the connection is closed, in addition to the time that it takes for what the kernel may
-/// not have sent. Closing a socket with unread bytes resets the connection, and the reset may discard the
-/// response.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Rate at which clients read at least, in bytes a second.
-const CLIENT_READ_RATE: f64 = 64_000.0;
-/// Maximum number of bytes that are read from a client and discarded, behind a request or after the last
-/// response.
-const MAX_DISCARDED_BYTES: usize = 32 << 20;
 /// Size of the buffer for these reads, in bytes.
 const DISCARD_BUFFER_BYTES: usize = 16 << 10;
 /// Divisor of the kernel's receive buffer. Behind more unread bytes than the quotient, a client's close may
@@ -113,7 +104,7 @@
         }
         self.has_discarded_input.set(true);
         let mut discard = InputDiscard::new();
-        poll_fn(|cx| discard.poll(cx, self)).await;
+        poll_fn(|cx| discard.poll(cx, |cx| self.poll_discard(cx))).await;
     }
 
     /// Waits until the kernel has bytes to read, the end of the stream or an error.
@@ -121,8 +112,8 @@
         let stream = self.stream.as_ref();
         loop {
             stream.readable().await?;
-            // Readiness may be left over from a read that has drained the socket. It is cleared by an operation
-            // that would block.
+            // Readiness may be left over from a read that has drained the socket. It is cleared by an
+            // operation that would block.
             match stream
                 .try_io(Interest::READABLE, || SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
             {
@@ -200,6 +191,11 @@
         self.framer.borrow_mut().complete(length);
     }
 
+    /// Returns the maximum number of written bytes that the kernel may still hold.
+    fn max_unsent_bytes(&self) -> usize {
+        self.bytes_written.get().min(2 * SEND_BUFFER_BYTES)
+    }
+
     /// Makes the socket linger after the last response: it reads and discards what the client still sends,
     /// for a limited time.
     pub fn linger(&self) {
@@ -230,52 +226,6 @@
     }
 }
 
-/// Reads and discards what a client sends.
-struct InputDiscard {
-    remaining_bytes: usize,
-}
-
-impl InputDiscard {
-    fn new() -> InputDiscard {
-        InputDiscard { remaining_bytes: MAX_DISCARDED_BYTES }
-    }
-
-    /// Reads and discards data until the client has closed its side. After [`MAX_DISCARDED_BYTES`] it reads
-    /// nothing more and never completes.
-    fn poll(&mut self, cx: &mut Context<'_>, observer: &SocketObserver) -> Poll<()> {
-        while self.remaining_bytes > 0 {
-            match ready!(observer.poll_discard(cx)) {
-                Ok(bytes) if bytes > 0 => self.remaining_bytes = self.remaining_bytes.saturating_sub(bytes),
-                _ => return Poll::Ready(()),
-            }
-        }
-        Poll::Pending
-    }
-}
-
-/// Discards what a client still sends after the last response to it.
-struct Lingering {
-    timer: Pin<Box<Sleep>>,
-    discard: InputDiscard,
-}
-
-impl Lingering {
-    /// Begins to linger on a socket to which `bytes_written` bytes were written.
-    fn new(bytes_written: usize) -> Lingering {
-        let unsent_bytes = bytes_written.min(2 * SEND_BUFFER_BYTES);
-        let reading_time = Duration::from_secs_f64(unsent_bytes as f64 / CLIENT_READ_RATE);
-        Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT + reading_time)), discard: InputDiscard::new() }
-    }
-
-    /// Discards data until the client has closed its side or has had the time to read the response.
-    fn poll(&mut self, cx: &mut Context<'_>, observer: &SocketObserver) -> Poll<()> {
-        if self.timer.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(());
-        }
-        self.discard.poll(cx, observer)
-    }
-}
-
 /// A client's socket, through which hyper reads and writes.
 pub struct DownstreamSocket {
     reader: OwnedReadHalf,
@@ -346,7 +296,7 @@
                 return Poll::Ready(Ok(()));
             }
         }
-        let lingering = lingering.get_or_insert_with(|| Lingering::new(observer.bytes_written.get()));
-        lingering.poll(cx, observer).map(Ok)
+        let lingering = lingering.get_or_insert_with(|| Lingering::new(observer.max_unsent_bytes()));
+        lingering.poll(cx, |cx| observer.poll_discard(cx)).map(Ok)
     }
 }
--- a/src/node/net/mod.rs
+++ b/src/node/net/mod.rs
@@ -5,6 +5,7 @@
 
 mod downstream_socket;
 mod framing;
+mod lingering;
 mod permits;
 mod receive_queue;
 mod stream;
--- a/src/node/state_store/admin_state.rs
+++ b/src/node/state_store/admin_state.rs
@@ -15,11 +15,9 @@
 const FORMAT_VERSION: u32 = 1;
 
 /// Minimum time for which the time of an endpoint's exit from maintenance is kept. That time has no effect
-/// after the slow start. This assumes that no slow start lasts longer; the settings do not bound it.
-const EXIT_TIME_RETENTION: Duration = Duration::from_secs(600);
-/// Number of exit times up to which all are kept, however old they seem: the wall clock may have been stepped
-/// forward since.
-const MIN_KEPT_EXITS: usize = 256;
+/// after the slow start. This assumes that no slow start lasts longer than 600 s, which the settings do not
+/// bound, and that the wall clock is stepped by no more than an hour.
+const EXIT_TIME_RETENTION: Duration = Duration::from_secs(600 + 3600);
 
 /// The state that operators have set through the admin API, and the number of process starts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -33,9 +31,8 @@
     pub standby: bool,
     /// The uids of the endpoints in maintenance.
     pub maintenance: BTreeSet<String>,
-    /// The times at which endpoints exited maintenance, by uid, in microseconds of Unix time. If there are
-    /// more than [`MIN_KEPT_EXITS`], those that are at least [`EXIT_TIME_RETENTION`] old are removed when an
-    /// endpoint exits maintenance.
+    /// The times at which endpoints exited maintenance, by uid, in microseconds of Unix time. Times that are
+    /// at least [`EXIT_TIME_RETENTION`] old are removed when an endpoint exits maintenance.
     #[serde(rename = "returned")]
     pub exited_at: BTreeMap<String, u64>,
 }
@@ -58,9 +55,7 @@
     pub fn exit_maintenance(&mut self, uid: &str, now: Timestamp) {
         if self.maintenance.remove(uid) {
             let age = |exited_at| now.saturating_duration_since(Timestamp::from_micros(exited_at));
-            if self.exited_at.len() > MIN_KEPT_EXITS {
-                self.exited_at.retain(|_, exited_at| age(*exited_at) < EXIT_TIME_RETENTION);
-            }
+            self.exited_at.retain(|_, exited_at| age(*exited_at) < EXIT_TIME_RETENTION);
             self.exited_at.insert(uid.to_string(), now.as_micros());
         }
     }
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -108,8 +108,8 @@
 
     /// Reads the file if it was written since the last read. A file that cannot be read or decoded is logged
     /// once and leaves the state unchanged. Without a known state, it is the default one. One that cannot be
-    /// read is read again by the next refresh, one that cannot be decoded when it is written. The latter is kept
-    /// under another name when the state is next written.
+    /// read is read again by the next refresh, one that cannot be decoded when it is written. The latter is
+    /// kept under another name when the state is next written.
     pub fn refresh(&self) {
         match self.read_if_changed() {
             Ok(()) => self.read_failed.set(false),
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use hyper::body::{Body, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use mothspool::{EndpointId, Outcome};
@@ -13,9 +13,9 @@
 use super::connection::Incarnation;
 use super::pool::{ConnectionLease, UpstreamPool};
 use super::request::{UpstreamRequest, head_length};
-use super::response::{ResponseFraming, StreamingResponse, closes_connection, is_rejection};
+use super::response::{ResponseFraming, ResponseStage, StreamingResponse, closes_connection, is_rejection};
 use super::stall::{InformationalCounter, response_stalled};
-use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, is_too_large_to_buffer, may_be_large};
+use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, may_be_large};
 use crate::net::UpstreamSocket;
 use crate::protocol::headers::remove_hop_by_hop_headers;
 
@@ -86,19 +86,6 @@
     stage: Cell<ResponseStage>,
 }
 
-/// What is known of the response to an attempt.
-#[derive(Clone, Copy, PartialEq)]
-enum ResponseStage {
-    /// Its head is incomplete.
-    AwaitingHead,
-    /// It is complete except for its body, which decides the outcome.
-    AwaitingBody,
-    /// It is a 200 response with a body that is too large to be buffered.
-    AwaitingLargeBody,
-    /// It is an error, whatever its body is.
-    Error,
-}
-
 /// Why there is no response to a request on one connection.
 enum ExchangeError {
     /// The attempt has failed.
@@ -277,7 +264,7 @@
     ) -> Result<AttemptOutcome, Outcome> {
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
-        self.stage.set(stage_after_head(&head, &body.size_hint()));
+        self.stage.set(ResponseStage::of(&head, &body.size_hint()));
         if head.status == StatusCode::OK && may_be_large(&body.size_hint()) {
             self.request.response_began.set(true);
             (self.on_progress)(ResponseProgress::Began);
@@ -304,17 +291,6 @@
     }
 }
 
-/// Returns what is known of a response with this head and a body of this size that has not been read.
-fn stage_after_head(head: &response::Parts, size: &SizeHint) -> ResponseStage {
-    match head.status {
-        StatusCode::OK if is_too_large_to_buffer(size) => ResponseStage::AwaitingLargeBody,
-        StatusCode::OK => ResponseStage::AwaitingBody,
-        // Without the rest of its message, a rejection does not prove that the request was not executed.
-        _ if is_rejection(head) => ResponseStage::AwaitingBody,
-        _ => ResponseStage::Error,
-    }
-}
-
 /// Builds the outcome of an attempt that got a response with status 200.
 fn build_success_outcome(
     mut head: response::Parts,
--- a/src/node/upstream/idle.rs
+++ b/src/node/upstream/idle.rs
@@ -48,7 +48,8 @@
 
     /// Takes the connection that became idle last, among those that have been idle for long enough and can be
     /// reused. Closes the broken and expired connections that it finds. Returns none for a request that must
-    /// not be executed twice if the endpoint sends surplus bytes: a surplus rejection would have it sent again.
+    /// not be executed twice if the endpoint sends surplus bytes: after a surplus rejection it would be sent
+    /// again.
     pub fn take(&mut self, limits: ReuseLimits) -> Option<Connection> {
         self.notice_surplus();
         if limits.non_idempotent && self.sends_surplus() {
--- a/src/node/upstream/response.rs
+++ b/src/node/upstream/response.rs
@@ -1,12 +1,13 @@
 //! Responses of endpoints: their framing, and those that are streamed to the client.
 
 use hyper::StatusCode;
+use hyper::body::SizeHint;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response::Parts;
 use mothspool::Outcome;
 
 use super::pool::ConnectionLease;
-use crate::body::{ResponseBody, StreamingResponseBody, TransferEnd};
+use crate::body::{ResponseBody, StreamingResponseBody, TransferEnd, is_too_large_to_buffer};
 use crate::protocol::headers::SRV_DECLINED;
 
 /// How the end of a response is determined.
@@ -53,6 +54,32 @@
         && head.headers.get(SRV_DECLINED).is_some_and(|value| value.as_bytes() == b"1")
 }
 
+/// What is known of the response to an attempt.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum ResponseStage {
+    /// Its head is incomplete.
+    AwaitingHead,
+    /// It is complete except for its body, which decides the outcome.
+    AwaitingBody,
+    /// It is a 200 response with a body that is too large to be buffered.
+    AwaitingLargeBody,
+    /// It is an error, whatever its body is.
+    Error,
+}
+
+impl ResponseStage {
+    /// Returns what is known of a response with this head and a body of this size that has not been read.
+    pub fn of(head: &Parts, size: &SizeHint) -> ResponseStage {
+        match head.status {
+            StatusCode::OK if is_too_large_to_buffer(size) => ResponseStage::AwaitingLargeBody,
+            StatusCode::OK => ResponseStage::AwaitingBody,
+            // Without the rest of its message, a rejection does not prove that the request was not executed.
+            _ if is_rejection(head) => ResponseStage::AwaitingBody,
+            _ => ResponseStage::Error,
+        }
+    }
+}
+
 /// The body of a response of which the first part has been read and the rest is streamed to the client.
 pub struct StreamingResponse {
     pub(super) body: Box<StreamingResponseBody>,
--- a/tests/faults/fault_injection.rs
+++ b/tests/faults/fault_injection.rs
@@ -11,8 +11,8 @@
 //! | `FAULT_FAILED_ACCEPTS` | accepting a connection fails with `ECONNABORTED`, `ENFILE` or `ENOBUFS` |
 //! | `FAULT_FAILED_CONNECTS` | connecting fails with `EADDRNOTAVAIL`, `ENETUNREACH` or `ENOBUFS` |
 //! | `FAULT_FAILED_SOCKETS` | opening a socket fails with `ENFILE`, `ENOBUFS` or `ENOMEM` |
-//! | `FAULT_STORAGE_FILE` | while a file of this name exists, files cannot be written, synced or renamed: `ENOSPC` or `EIO` |
-//! | `FAULT_CLOCK_FILE` | a file with the number of seconds by which the wall clock is off; may be changed while the node runs |
+//! | `FAULT_STORAGE_FILE` | while a file of this name exists, writes, syncs and renames fail: `ENOSPC`, `EIO` |
+//! | `FAULT_CLOCK_FILE` | a file with the number of seconds by which the wall clock is off at present |
 #![allow(unsafe_code, missing_docs)]
 
 use std::ffi::CStr;
