Use one way to read, write, peek at and shut down the node's TCP streams

Cause: net::stream was added beside what the sockets did already. The discarding read had the same loop once more, the shutdown of a write side stood in one socket and in tokio's form in two others, the endpoint's socket kept a RefCell that a shared stream does not need, and a peek stood twice.

Change: both sockets call net::stream on a plain TcpStream; shut_down_write and peek_byte are one each. clear_received, which has marked the begin of an exchange as well, is begin_exchange, and its counterpart end_exchange. No behaviour changes.

--- a/src/node/net/downstream_socket.rs
+++ b/src/node/net/downstream_socket.rs
@@ -4,7 +4,6 @@
 use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -18,7 +17,7 @@
 
 use super::framing::MessageFramer;
 use super::lingering::{InputDiscard, Lingering};
-use super::receive_queue::{ReceiveQueue, has_unread_bytes};
+use super::receive_queue::{ReceiveQueue, has_unread_bytes, peek_byte};
 use super::stream;
 
 /// Size of the buffer for these reads, in bytes.
@@ -114,9 +113,7 @@
             stream.readable().await?;
             // Readiness may be left over from a read that has drained the socket. It is cleared by an
             // operation that would block.
-            match stream
-                .try_io(Interest::READABLE, || SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
-            {
+            match stream.try_io(Interest::READABLE, || peek_byte(stream)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 peeked => return peeked.map(drop),
             }
@@ -150,14 +147,10 @@
     /// Reads and discards some of what the client has sent, and returns the number of bytes. The buffer is on
     /// the stack, so that nobody who waits holds it.
     fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let stream = self.stream.as_ref();
-        loop {
-            ready!(stream.poll_read_ready(cx))?;
-            match stream.try_read(&mut [0; DISCARD_BUFFER_BYTES]) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read),
-            }
-        }
+        let mut space = [MaybeUninit::uninit(); DISCARD_BUFFER_BYTES];
+        let mut discarded = ReadBuf::uninit(&mut space);
+        ready!(stream::poll_read(self.stream.as_ref(), cx, &mut discarded))?;
+        Poll::Ready(Ok(discarded.filled().len()))
     }
 
     /// Returns whether bytes of the client were discarded, so that no further request can be read.
@@ -216,14 +209,6 @@
         self.write_blocked_since.set(result.is_pending().then_some(blocked_since));
         result
     }
-
-    /// Closes the write side, which sends the client the end of the stream.
-    fn shut_down_write(&self) -> io::Result<()> {
-        match SockRef::from(self.stream.as_ref()).shutdown(Shutdown::Write) {
-            Err(error) if error.kind() != io::ErrorKind::NotConnected => Err(error),
-            _ => Ok(()),
-        }
-    }
 }
 
 /// A client's socket, through which hyper reads and writes.
@@ -291,7 +276,7 @@
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let DownstreamSocket { observer, lingering, .. } = self.get_mut();
         if lingering.is_none() {
-            observer.shut_down_write()?;
+            stream::shut_down_write(observer.stream.as_ref())?;
             if !observer.should_linger.get() && !observer.has_unread_data() {
                 return Poll::Ready(Ok(()));
             }
--- a/src/node/net/receive_queue.rs
+++ b/src/node/net/receive_queue.rs
@@ -25,10 +25,16 @@
     SockRef::from(stream).peek(&mut space).is_ok_and(|length| length >= bytes)
 }
 
+/// Peeks at the next byte of the stream's receive queue. Returns 0 at the end of the stream, and an error if
+/// the queue is empty or the connection has failed.
+pub fn peek_byte(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
 impl ReceiveQueue {
     /// Returns the current state of the stream's receive queue.
     pub fn of(stream: &TcpStream) -> ReceiveQueue {
-        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        match peek_byte(stream) {
             Ok(0) => ReceiveQueue::EndOfStream,
             Ok(_) => ReceiveQueue::Data,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => ReceiveQueue::Empty,
--- a/src/node/net/stream.rs
+++ b/src/node/net/stream.rs
@@ -5,9 +5,11 @@
 //! follow. Here a socket counts as drained or full only when a system call would block.
 
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -37,6 +39,14 @@
     }
 }
 
+/// Closes the write side, which sends the peer the end of the stream.
+pub fn shut_down_write(stream: &TcpStream) -> io::Result<()> {
+    match SockRef::from(stream).shutdown(Shutdown::Write) {
+        Err(error) if error.kind() != io::ErrorKind::NotConnected => Err(error),
+        _ => Ok(()),
+    }
+}
+
 /// A TCP stream.
 pub struct Stream(pub TcpStream);
 
@@ -68,7 +78,7 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().0).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(shut_down_write(&self.0))
     }
 }
--- a/src/node/net/upstream_socket.rs
+++ b/src/node/net/upstream_socket.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection to an endpoint, which observes what hyper reads from it and writes to it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,12 +12,12 @@
 
 use super::permits::ConnectionPermit;
 use super::receive_queue::ReceiveQueue;
-use super::stream::Stream;
+use super::stream;
 
 /// A connection to an endpoint, shared between hyper, which uses it through [`UpstreamIo`], and the
 /// connection's owner.
 pub struct UpstreamSocket {
-    stream: RefCell<Stream>,
+    stream: TcpStream,
     /// Number of bytes written.
     bytes_written: Cell<u64>,
     /// Whether bytes were read since this was last cleared.
@@ -35,7 +35,7 @@
     /// Wraps a connected stream. The permit is released when the socket is dropped, which closes it.
     pub fn new(stream: TcpStream, permit: ConnectionPermit) -> UpstreamSocket {
         UpstreamSocket {
-            stream: RefCell::new(Stream(stream)),
+            stream,
             bytes_written: Cell::new(0),
             has_received_data: Cell::new(false),
             data_notify: Notify::new(),
@@ -50,7 +50,7 @@
         self.bytes_written.get()
     }
 
-    /// Waits until bytes were read since this last returned or [`UpstreamSocket::clear_received`] was called.
+    /// Waits until bytes were read since this last returned or [`UpstreamSocket::begin_exchange`] was called.
     pub async fn data_received(&self) {
         while !self.has_received_data.get() {
             self.data_notify.notified().await;
@@ -58,16 +58,16 @@
         self.has_received_data.set(false);
     }
 
-    /// Clears the flag that [`UpstreamSocket::data_received`] waits for. The bytes that set it belong to an
-    /// earlier response.
-    pub fn clear_received(&self) {
+    /// Records that a request is about to be written. Bytes that were read before belong to an earlier
+    /// response, and those that are read from now on are expected.
+    pub fn begin_exchange(&self) {
         self.has_received_data.set(false);
         self.is_idle.set(false);
     }
 
     /// Records that the response is complete: further bytes are surplus, until
-    /// [`UpstreamSocket::clear_received`] is called for the next request.
-    pub fn expect_no_data(&self) {
+    /// [`UpstreamSocket::begin_exchange`] is called for the next request.
+    pub fn end_exchange(&self) {
         self.is_idle.set(true);
     }
 
@@ -78,11 +78,16 @@
 
     /// Returns whether the connection is open and the kernel has received nothing that is still to be read.
     pub fn is_receive_queue_empty(&self) -> bool {
-        ReceiveQueue::of(&self.stream.borrow().0) == ReceiveQueue::Empty
+        ReceiveQueue::of(&self.stream) == ReceiveQueue::Empty
     }
 
-    /// Adds the bytes of a successful write to the count.
-    fn count_written(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    /// Writes as much as the kernel accepts, and counts it.
+    fn poll_write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let result = stream::poll_write(&self.stream, cx, write);
         if let Poll::Ready(Ok(bytes)) = &result {
             self.bytes_written.set(self.bytes_written.get() + *bytes as u64);
         }
@@ -96,7 +101,7 @@
 impl AsyncRead for UpstreamIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
+        let result = stream::poll_read(&self.0.stream, cx, buf);
         if buf.filled().len() > filled_before {
             self.0.has_received_data.set(true);
             self.0.has_surplus.set(self.0.has_surplus.get() || self.0.is_idle.get());
@@ -108,8 +113,7 @@
 
 impl AsyncWrite for UpstreamIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
-        self.0.count_written(result)
+        self.0.poll_write(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -117,19 +121,19 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.0.count_written(result)
+        self.0.poll_write(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
+        self.0.stream.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A TCP stream has no buffer outside of the kernel.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(stream::shut_down_write(&self.0.stream))
     }
 }
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -165,8 +165,7 @@
         );
         self.may_be_written.set(true);
         self.request.was_sent.set(true);
-        // Data received earlier belongs to a previous response.
-        socket.clear_received();
+        socket.begin_exchange();
         tokio::select! {
             biased;
             result = self.send_and_read(lease, http_request) => result,
--- a/src/node/upstream/connection.rs
+++ b/src/node/upstream/connection.rs
@@ -129,7 +129,7 @@
     /// time. Returns whether hyper was ready within [`READY_TIMEOUT`].
     pub async fn become_idle(&mut self) -> bool {
         let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
-        self.socket.expect_no_data();
+        self.socket.end_exchange();
         self.idle_since = Instant::now();
         matches!(ready, Ok(Ok(())))
     }
