Say that a response is read to its end without a time in the far future

The rate that is required of clients stood twice, once halved.

Change: ResponsePrefix::read takes an Option, filtered by whether the body may be large, and passes the body's count. The rate is one constant.

--- a/src/node/body/early_streaming.rs
+++ b/src/node/body/early_streaming.rs
@@ -1,15 +1,10 @@
 //! The time at which a response that is not complete is streamed to its client.
 
-use std::time::Duration;
-
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::pacing::time_at_minimum_rate;
 
-/// A time that no request lasts.
-const FAR_FUTURE: Duration = Duration::from_secs(24 * 60 * 60);
-
 /// Decides when a response is streamed although it is not known whether it is large, or although nothing of
 /// its body was received.
 ///
@@ -27,8 +22,6 @@
     /// Time at which the first piece of the body was received. The rate counts from then on, because a head
     /// may be sent long before the body is ready.
     first_piece_at: Option<Instant>,
-    /// Number of bytes of the body that were received.
-    received: u64,
 }
 
 impl EarlyStreaming {
@@ -38,39 +31,32 @@
         stream_by: Instant,
         stop_buffering: CancellationToken,
     ) -> EarlyStreaming {
-        EarlyStreaming { stream_from, stream_by, stop_buffering, first_piece_at: None, received: 0 }
-    }
-
-    /// Creates the state for a response that is not streamed to a client, and is read to its end.
-    pub fn never() -> EarlyStreaming {
-        let far_future = Instant::now() + FAR_FUTURE;
-        EarlyStreaming::new(far_future, far_future, CancellationToken::new())
+        EarlyStreaming { stream_from, stream_by, stop_buffering, first_piece_at: None }
     }
 
     /// Records that a piece of the body was received at `now`, and returns whether the response is streamed
     /// from then on. `received` is the number of bytes of the body so far. The first piece says nothing of
     /// the rate, so no response is streamed with it.
     pub fn on_piece(&mut self, received: u64, now: Instant) -> bool {
-        self.received = received;
         if self.first_piece_at.is_none() {
             self.first_piece_at = Some(now);
             return false;
         }
-        now >= self.stream_from && self.keeps_minimum_rate(now)
+        now >= self.stream_from && self.keeps_minimum_rate(received, now)
     }
 
-    /// Waits until the response has to be streamed if no further piece is received.
-    pub async fn due(&self) {
+    /// Waits until the response has to be streamed if no more than `received` bytes of its body are received.
+    pub async fn due(&self, received: u64) {
         tokio::select! {
-            () = self.due_by_time() => {}
+            () = self.due_by_time(received) => {}
             () = self.stop_buffering.cancelled() => {}
         }
     }
 
-    async fn due_by_time(&self) {
+    async fn due_by_time(&self, received: u64) {
         if Instant::now() < self.stream_from {
             sleep_until(self.stream_from).await;
-            if self.keeps_minimum_rate(Instant::now()) {
+            if self.keeps_minimum_rate(received, Instant::now()) {
                 return;
             }
         }
@@ -78,8 +64,8 @@
     }
 
     /// Returns whether the body was received at the minimum rate since its first piece.
-    fn keeps_minimum_rate(&self, now: Instant) -> bool {
-        self.first_piece_at.is_some_and(|first| first + time_at_minimum_rate(self.received) >= now)
+    fn keeps_minimum_rate(&self, received: u64, now: Instant) -> bool {
+        self.first_piece_at.is_some_and(|first| first + time_at_minimum_rate(received) >= now)
     }
 }
 
--- a/src/node/body/pacing.rs
+++ b/src/node/body/pacing.rs
@@ -9,10 +9,11 @@
 
 use crate::body::error::BodyError;
 use crate::body::incoming::IncomingBody;
+use crate::net::REQUIRED_CLIENT_RATE;
 
-/// Minimum rate at which a peer may send a body. The rate that is required of peers is twice as high; the
+/// Minimum rate at which a peer may send a body. The rate that is required of clients is twice as high; the
 /// difference is a tolerance for machines that run unevenly.
-const MIN_BYTES_PER_SECOND: f64 = 32_000.0;
+const MIN_BYTES_PER_SECOND: f64 = REQUIRED_CLIENT_RATE / 2.0;
 /// Maximum time that a client may pause after it has sent data, however much that was. A deadline that is
 /// already later stays. A client that keeps to the required rate may send the data of one second at once.
 const MAX_UPLOAD_PAUSE: Duration = Duration::from_millis(1500);
--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -34,33 +34,34 @@
 
 impl ResponsePrefix {
     /// Reads the whole body if it is small and `budget` has capacity, otherwise only its first pieces. A body
-    /// that may be streamed is read at most until `early_streaming` has it streamed, which may be before its
-    /// first piece.
+    /// that is or may be large is read at most until `early_streaming`, if there is any, has it streamed,
+    /// which may be before its first piece.
     pub async fn read(
         body: Incoming,
         budget: &Rc<BufferBudget>,
-        mut early_streaming: EarlyStreaming,
+        early_streaming: Option<EarlyStreaming>,
     ) -> Result<ResponsePrefix, ReceiveError> {
         let mut body = IncomingBody::new(body)?;
         let size = body.size_hint();
-        let may_be_streamed = may_be_large(&size);
+        let mut early_streaming = early_streaming.filter(|_| may_be_large(&size));
         let mut buffer = budget.reserve(&size).map(BodyBuffer::new);
         loop {
-            let received = tokio::select! {
+            let received = body.received();
+            let data = tokio::select! {
                 biased;
-                received = body.data() => received?,
-                () = early_streaming.due(), if may_be_streamed => {
+                data = body.data() => data?,
+                () = due(early_streaming.as_ref(), received) => {
                     return Ok(ResponsePrefix::partial(buffer, None, body));
                 }
             };
-            let Some(data) = received else { break };
+            let Some(data) = data else { break };
             let overflow = match &mut buffer {
                 Some(buffer) => buffer.push(data).err(),
                 None => Some(data),
             };
             let exceeds_buffer = overflow.is_some();
-            let streams_early =
-                size.exact().is_none() && early_streaming.on_piece(body.received(), Instant::now());
+            let on_piece = |early: &mut EarlyStreaming| early.on_piece(body.received(), Instant::now());
+            let streams_early = early_streaming.as_mut().is_some_and(on_piece);
             if exceeds_buffer || streams_early {
                 return Ok(ResponsePrefix::partial(buffer, overflow, body));
             }
@@ -75,6 +76,15 @@
     }
 }
 
+/// Waits until a response of whose body `received` bytes were received has to be streamed. Never returns if it
+/// is to be read to its end.
+async fn due(early_streaming: Option<&EarlyStreaming>, received: u64) {
+    match early_streaming {
+        Some(early_streaming) => early_streaming.due(received).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The way in which the transfer of a streamed response ended.
 #[derive(Clone, Copy)]
 pub enum TransferEnd {
--- a/src/node/net/lingering.rs
+++ b/src/node/net/lingering.rs
@@ -12,8 +12,8 @@
 /// not have sent. Closing a socket with unread bytes resets the connection, and the reset may discard the
 /// response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Rate at which clients read at least, in bytes a second.
-const CLIENT_READ_RATE: f64 = 64_000.0;
+/// Rate that the protocol requires of clients at least, in bytes a second.
+pub const REQUIRED_CLIENT_RATE: f64 = 64_000.0;
 /// Maximum number of bytes that are read from a client and discarded, behind a request or after the last
 /// response.
 const MAX_DISCARDED_BYTES: usize = 32 << 20;
@@ -57,7 +57,7 @@
 impl Lingering {
     /// Begins to linger on a socket of whose last response at most `unsent_bytes` bytes are still to be read.
     pub(super) fn new(unsent_bytes: usize) -> Lingering {
-        let reading_time = Duration::from_secs_f64(unsent_bytes as f64 / CLIENT_READ_RATE);
+        let reading_time = Duration::from_secs_f64(unsent_bytes as f64 / REQUIRED_CLIENT_RATE);
         Lingering { timer: Box::pin(sleep(LINGER_TIMEOUT + reading_time)), discard: InputDiscard::new() }
     }
 
--- a/src/node/net/mod.rs
+++ b/src/node/net/mod.rs
@@ -13,6 +13,7 @@
 mod upstream_socket;
 
 pub use downstream_socket::{DownstreamSocket, SocketObserver};
+pub use lingering::REQUIRED_CLIENT_RATE;
 pub use permits::{ConnectionPermit, ConnectionPermits};
 pub use stream::Stream;
 pub use system_errors::{is_descriptor_limit, is_local_shortage};
--- a/src/node/upstream/attempt.rs
+++ b/src/node/upstream/attempt.rs
@@ -15,7 +15,7 @@
 use super::request::{UpstreamRequest, head_length};
 use super::response::{ResponseFraming, ResponseStage, StreamingResponse, closes_connection, is_rejection};
 use super::stall::{InformationalCounter, response_stalled};
-use crate::body::{EarlyStreaming, OutboundBody, ResponseBody, ResponsePrefix, may_be_large};
+use crate::body::{OutboundBody, ResponseBody, ResponsePrefix, may_be_large};
 use crate::net::UpstreamSocket;
 use crate::protocol::headers::remove_hop_by_hop_headers;
 
@@ -264,19 +264,17 @@
         let (head, body) = response.into_parts();
         let framing = ResponseFraming::of(&head.headers).ok_or(Outcome::Reset)?;
         self.stage.set(ResponseStage::of(&head, &body.size_hint()));
-        if head.status == StatusCode::OK && may_be_large(&body.size_hint()) {
+        let is_success = head.status == StatusCode::OK;
+        if is_success && may_be_large(&body.size_hint()) {
             self.request.response_began.set(true);
             (self.on_progress)(ResponseProgress::Began);
         }
-        let early_streaming = match head.status {
-            StatusCode::OK => self.request.early_streaming(Instant::now()),
-            _ => EarlyStreaming::never(),
-        };
+        let early_streaming = is_success.then(|| self.request.early_streaming(Instant::now()));
         let prefix = ResponsePrefix::read(body, self.pool.buffer_budget(), early_streaming)
             .await
             .map_err(|_| Outcome::Reset)?;
         let keeps_connection = framing.keeps_connection();
-        if head.status == StatusCode::OK {
+        if is_success {
             return Ok(build_success_outcome(head, prefix, lease, keeps_connection));
         }
         let origin = lease.origin;
