Look up a request once for its final answer, and stop at the first real error

Cause: reject and fail looked the request up again for their log line, and a state file that can't be kept for lack of space was tried under a hundred names.

Change: one lookup; only a name that is taken leads to the next one.

--- a/src/node/engine/actions.rs
+++ b/src/node/engine/actions.rs
@@ -9,7 +9,7 @@
 
 use super::Engine;
 use super::event::{AttemptId, EngineEvent, FinalAnswer};
-use super::requests::{ActiveRequest, Attempt};
+use super::requests::Attempt;
 use crate::upstream::{AttemptOutcome, ResponseProgress};
 
 impl Engine {
@@ -30,14 +30,14 @@
         let sent_at = self.clock.now();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let upstream_request = request.upstream_request.clone();
+        upstream_request.begin_by.set(begin_by.map(|time| self.clock.instant(time)));
+        let attempt = AttemptId { request: id, number: request.next_attempt_number() };
         tracing::debug!(
             request = %upstream_request.client_request_id,
-            attempt = request.next_attempt_number(),
+            attempt = attempt.number,
             endpoint,
             "attempt started"
         );
-        upstream_request.begin_by.set(begin_by.map(|time| self.clock.instant(time)));
-        let attempt = AttemptId { request: id, number: request.next_attempt_number() };
         let may_send = !request.is_answered();
         let may_be_written = Rc::new(Cell::new(false));
         let (upstream, handle) = (self.upstream.clone(), self.handle.clone());
@@ -62,29 +62,26 @@
     }
 
     fn reject(&mut self, id: RequestId, retry_after: Duration) {
+        let Some(request) = self.requests.get(&id) else { return };
         let retry_after = (!retry_after.is_zero()).then_some(retry_after);
-        if let Some(request) = self.requests.get(&id) {
-            tracing::debug!(
-                request = %request.upstream_request.client_request_id,
-                attempts = request.next_attempt_number(),
-                ?retry_after,
-                "request rejected"
-            );
-        }
+        tracing::debug!(
+            request = %request.upstream_request.client_request_id,
+            attempts = request.next_attempt_number(),
+            ?retry_after,
+            "request rejected"
+        );
         self.answer(id, FinalAnswer::Rejected { retry_after });
     }
 
     fn fail(&mut self, id: RequestId) {
-        let timed_out = |request: &ActiveRequest| request.has_timed_out || request.has_running_attempt();
-        let timed_out = self.requests.get(&id).is_some_and(timed_out);
-        if let Some(request) = self.requests.get(&id) {
-            tracing::info!(
-                request = %request.upstream_request.client_request_id,
-                attempts = request.next_attempt_number(),
-                timed_out,
-                "request failed"
-            );
-        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let timed_out = request.has_timed_out || request.has_running_attempt();
+        tracing::info!(
+            request = %request.upstream_request.client_request_id,
+            attempts = request.next_attempt_number(),
+            timed_out,
+            "request failed"
+        );
         self.answer(id, FinalAnswer::Failed { timed_out });
     }
 
--- a/src/node/state_store/mod.rs
+++ b/src/node/state_store/mod.rs
@@ -199,8 +199,8 @@
     /// Gives the state file a second name, under which it stays when the state file is replaced: the orders
     /// in it may still be wanted.
     fn keep_undecodable_file(&self) -> Result<(), StateError> {
-        let mut last_error = None;
-        for number in 1..=MAX_UNDECODABLE_FILES {
+        let mut number = 1;
+        loop {
             let path = self.path.with_extension(format!("undecodable-{number}"));
             match fs::hard_link(&self.path, &path) {
                 Ok(()) => {
@@ -208,10 +208,14 @@
                     return Ok(());
                 }
                 Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(()),
-                Err(source) => last_error = Some(StateError::Write { path, source }),
+                Err(error)
+                    if error.kind() == io::ErrorKind::AlreadyExists && number < MAX_UNDECODABLE_FILES =>
+                {
+                    number += 1;
+                }
+                Err(source) => return Err(StateError::Write { path, source }),
             }
         }
-        last_error.map_or(Ok(()), Err)
     }
 
     /// Writes a new file next to the state file, and renames it to the state file.
