Use the shutdown deadline's own token, and return a late call's watch directly

Cause: each request had a cancellation token of its own, allocated on the hot path and cancelled only at the shutdown deadline, for which a token exists. The calls to discovery passed a late answer through a field and a made-up error.

Change: EarlyStreaming waits on the token of the lifecycle. answer_of returns the watch.

--- a/src/node/body/early_streaming.rs
+++ b/src/node/body/early_streaming.rs
@@ -17,8 +17,8 @@
     stream_from: Instant,
     /// Time at which any response is streamed.
     stream_by: Instant,
-    /// Cancelled when responses have to be streamed at once.
-    stop_buffering: CancellationToken,
+    /// Cancelled at the shutdown deadline, when any response is streamed.
+    shutdown_deadline: CancellationToken,
     /// Time at which the first piece of the body was received. The rate counts from then on, because a head
     /// may be sent long before the body is ready.
     first_piece_at: Option<Instant>,
@@ -29,9 +29,9 @@
     pub fn new(
         stream_from: Instant,
         stream_by: Instant,
-        stop_buffering: CancellationToken,
+        shutdown_deadline: CancellationToken,
     ) -> EarlyStreaming {
-        EarlyStreaming { stream_from, stream_by, stop_buffering, first_piece_at: None }
+        EarlyStreaming { stream_from, stream_by, shutdown_deadline, first_piece_at: None }
     }
 
     /// Records that a piece of the body was received at `now`, and returns whether the response is streamed
@@ -49,7 +49,7 @@
     pub async fn due(&self, received: u64) {
         tokio::select! {
             () = self.due_by_time(received) => {}
-            () = self.stop_buffering.cancelled() => {}
+            () = self.shutdown_deadline.cancelled() => {}
         }
     }
 
--- a/src/node/body/response.rs
+++ b/src/node/body/response.rs
@@ -76,8 +76,8 @@
     }
 }
 
-/// Waits until a response of whose body `received` bytes were received has to be streamed. Never returns if it
-/// is to be read to its end.
+/// Waits until a response of whose body `received` bytes were received has to be streamed. Never returns if
+/// it is to be read to its end.
 async fn due(early_streaming: Option<&EarlyStreaming>, received: u64) {
     match early_streaming {
         Some(early_streaming) => early_streaming.due(received).await,
--- a/src/node/discovery/calls.rs
+++ b/src/node/discovery/calls.rs
@@ -31,38 +31,27 @@
         let opened = tokio::select! {
             biased;
             opened = timeout(LATE_CALL_TIMEOUT, &mut call) => opened,
-            () = wait_for_answer(&mut self.late, &mut self.answer) => Ok(Err(WatchError::Ended)),
+            watch = answer_of(&mut self.late) => return Ok(watch),
         };
-        if let Some(watch) = self.answer.take() {
-            return Ok(watch);
-        }
-        match opened {
-            Ok(opened) => {
-                self.late = None;
-                opened
-            }
-            Err(_) => {
-                self.late = Some(call);
-                Err(WatchError::ResponseTimedOut { address, timeout: LATE_CALL_TIMEOUT })
-            }
-        }
+        let is_late = opened.is_err();
+        self.late = is_late.then_some(call);
+        opened.unwrap_or(Err(WatchError::ResponseTimedOut { address, timeout: LATE_CALL_TIMEOUT }))
     }
 
     /// Waits for an answer to the late call, which the next [`Calls::open`] returns.
     pub(super) async fn late_answer(&mut self) {
-        wait_for_answer(&mut self.late, &mut self.answer).await;
+        self.answer = Some(answer_of(&mut self.late).await);
     }
 }
 
-/// Waits until the late call has opened a watch. Never returns if there is no such call, or if it fails.
-async fn wait_for_answer(late: &mut Option<Call>, answer: &mut Option<Watch>) {
+/// Waits until a late call has opened a watch. Never returns if there is no such call, or if it fails.
+async fn answer_of(late: &mut Option<Call>) -> Watch {
     if let Some(call) = late {
         let opened = call.await;
         *late = None;
         if let Ok(watch) = opened {
-            *answer = Some(watch);
-            return;
+            return watch;
         }
     }
-    pending::<()>().await;
+    pending().await
 }
--- a/src/node/downstream/exchange.rs
+++ b/src/node/downstream/exchange.rs
@@ -18,8 +18,8 @@
 use crate::net::SocketObserver;
 use crate::upstream::UpstreamRequest;
 
-/// Maximum time until a response that has begun is passed on once that was asked for. Longer than a node is
-/// held up at most.
+/// Maximum time from the shutdown deadline until a response that has begun is passed on. Longer than a node
+/// is held up at most.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A valid request whose body is buffered completely or is streamed.
@@ -82,12 +82,12 @@
     Ok(answer.map_or_else(|_| no_answer(), response_to))
 }
 
-/// Has a response that has begun passed on at once, and returns it. Returns `None` if no response has begun.
+/// Waits for the response that is passed on because the shutdown deadline has passed. Returns `None` if none
+/// has begun.
 async fn begun_response(
     request: &UpstreamRequest,
     answer: &mut oneshot::Receiver<FinalAnswer>,
 ) -> Option<FinalAnswer> {
-    request.stop_buffering.cancel();
     let begun = match request.response_began.get() {
         true => timeout(HANDOVER_TIMEOUT, answer).await.ok().and_then(Result::ok),
         false => None,
--- a/src/node/downstream/handler.rs
+++ b/src/node/downstream/handler.rs
@@ -160,7 +160,8 @@
         notify_engine_of_upload(&body, id, &self.engine);
         let waited = now.saturating_duration_since(buffered_at);
         let request = head.balancer_request(id, waited);
-        let upstream_request = Rc::new(head.into_upstream_request(body, buffered_at));
+        let shutdown_deadline = self.lifecycle.shutdown_deadline();
+        let upstream_request = Rc::new(head.into_upstream_request(body, buffered_at, shutdown_deadline));
         Ok(AcceptedRequest { request, upstream_request, claimed_id })
     }
 }
--- a/src/node/downstream/request.rs
+++ b/src/node/downstream/request.rs
@@ -109,7 +109,13 @@
 
     /// Converts the head into the request that is sent to endpoints. `buffered_at` is the time at which the
     /// last byte was received, if the body is buffered.
-    pub fn into_upstream_request(self, body: RequestBody, buffered_at: Instant) -> UpstreamRequest {
+    /// A response that has begun when `shutdown_deadline` is cancelled is passed on at once.
+    pub fn into_upstream_request(
+        self,
+        body: RequestBody,
+        buffered_at: Instant,
+        shutdown_deadline: CancellationToken,
+    ) -> UpstreamRequest {
         UpstreamRequest {
             client_request_id: self.client_request_id,
             method: self.method,
@@ -124,7 +130,7 @@
             client_disconnected: Cell::new(false),
             was_sent: Cell::new(false),
             response_began: Cell::new(false),
-            stop_buffering: CancellationToken::new(),
+            shutdown_deadline,
         }
     }
 }
--- a/src/node/lifecycle/mod.rs
+++ b/src/node/lifecycle/mod.rs
@@ -182,6 +182,11 @@
         self.shutdown_deadline.is_cancelled()
     }
 
+    /// Returns a token that is cancelled at the shutdown deadline.
+    pub fn shutdown_deadline(&self) -> CancellationToken {
+        self.shutdown_deadline.clone()
+    }
+
     /// Waits until the shutdown deadline has passed.
     pub async fn wait_for_shutdown_deadline(&self) {
         self.shutdown_deadline.cancelled().await;
--- a/src/node/upstream/request.rs
+++ b/src/node/upstream/request.rs
@@ -55,8 +55,8 @@
     pub was_sent: Cell<bool>,
     /// Whether a response has begun that is passed on by the client's deadline at the latest.
     pub response_began: Cell<bool>,
-    /// Cancelled when a response that has begun has to be passed on at once.
-    pub stop_buffering: CancellationToken,
+    /// Cancelled at the shutdown deadline, when a response that has begun has to be passed on at once.
+    pub shutdown_deadline: CancellationToken,
 }
 
 impl UpstreamRequest {
@@ -137,7 +137,7 @@
         let time_left = wanted_by.saturating_duration_since(began_at);
         let stream_from = began_at + time_left / 2;
         let stream_by = received_at + self.timeout.saturating_sub(STREAMING_MARGIN);
-        EarlyStreaming::new(stream_from.min(stream_by), stream_by, self.stop_buffering.clone())
+        EarlyStreaming::new(stream_from.min(stream_by), stream_by, self.shutdown_deadline.clone())
     }
 
     /// Returns whether the client may have stopped waiting, since it may have sent its last byte so long ago.
