Share the framings of responses and the requests of each class between tests

Cause: the tests of pauses, of early streaming and of the soak each wrote the heads and ends of responses and a request of each class.

Change: Framing and requests_of_each_class in tests/support serve all of them.

--- a/tests/node/paused_responses.rs
+++ b/tests/node/paused_responses.rs
@@ -14,65 +14,15 @@
 /// Time from the head of a response to its body, where the body begins late.
 const BODY_DELAY: Duration = Duration::from_millis(900);
 
-/// How the end of a large response is marked.
-#[derive(Clone, Copy, Debug)]
-enum Framing {
-    Chunked,
-    UntilClose,
-    StatedLength,
-}
-
-const FRAMINGS: [Framing; 3] = [Framing::Chunked, Framing::UntilClose, Framing::StatedLength];
-
-impl Framing {
-    fn head(self) -> String {
-        match self {
-            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
-            Framing::UntilClose => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".into(),
-            Framing::StatedLength => format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n"),
-        }
-    }
-
-    /// Returns a part of a body on the wire. The last part has the end of the body.
-    fn encode(self, part: &[u8], is_last: bool) -> Vec<u8> {
-        match self {
-            Framing::Chunked if part.is_empty() => Vec::new(),
-            Framing::Chunked if is_last => [&chunk(part)[..], b"0\r\n\r\n"].concat(),
-            Framing::Chunked => chunk(part),
-            Framing::UntilClose | Framing::StatedLength => part.to_vec(),
-        }
-    }
-
-    /// Returns the reply that sends the head with the first bytes of a body, pauses, and sends the rest.
-    fn paused_reply(self, body: &[u8], first_bytes: usize, pause: Duration) -> Reply {
-        let (first, rest) = body.split_at(first_bytes);
-        let begin = [self.head().into_bytes(), self.encode(first, false)].concat();
-        let pieces = vec![begin, self.encode(rest, true)];
-        match self {
-            Framing::UntilClose => Reply::SendWithPausesAndClose(pieces, pause),
-            Framing::Chunked | Framing::StatedLength => Reply::SendWithPauses(pieces, pause),
-        }
-    }
-}
-
-/// Returns a request of each class, whose client waits for this time.
-fn requests(client_wait: Duration) -> [Vec<u8>; 3] {
-    let deadline = client_wait.as_secs_f64().to_string();
-    [
-        request("GET", "/view/1", &deadline, "", ""),
-        request("POST", "/submit/1", &deadline, "Idempotency-Key: 1\r\n", "value"),
-        request("POST", "/order/1", &deadline, "", "xyz"),
-    ]
-}
-
 /// Checks for each framing and class that a response which pauses after `first_bytes` of its body begins
 /// within the client's time and is passed on whole.
 fn expect_whole_response(client_wait: Duration, first_bytes: usize, pause: Duration) {
     let body = random_bytes(BODY_BYTES);
     thread::scope(|scope| {
         for framing in FRAMINGS {
-            for request in requests(client_wait) {
-                let (body, reply) = (&body, framing.paused_reply(&body, first_bytes, pause));
+            for request in requests_of_each_class(&client_wait.as_secs_f64().to_string()) {
+                let (first, rest) = body.split_at(first_bytes);
+                let (body, reply) = (&body, framing.reply(&[first, rest], pause));
                 scope.spawn(move || {
                     let upstream = ScriptedEndpoint::new(move |_, _| reply.clone());
                     let node = Node::start(&[ready_endpoint("a", &upstream)]);
@@ -164,7 +114,8 @@
     // The shutdown deadline is 3.4 s after SIGTERM.
     const PAUSE: Duration = Duration::from_secs(5);
     let body = random_bytes(BODY_BYTES);
-    let reply = Framing::Chunked.paused_reply(&body, 5_000, PAUSE);
+    let (first, rest) = body.split_at(5_000);
+    let reply = Framing::Chunked.reply(&[first, rest], PAUSE);
     let upstream = ScriptedEndpoint::new(move |_, _| reply.clone());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut node = Node::with_inherited_listener(&[ready_endpoint("a", &upstream)], &listener, &state_dir());
--- a/tests/node/streamed_responses.rs
+++ b/tests/node/streamed_responses.rs
@@ -13,20 +13,6 @@
 const DEADLINE: &str = "0.6";
 /// The same deadline.
 const CLIENT_WAIT: Duration = Duration::from_millis(600);
-/// Head of a response that is chunked.
-const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-/// Head of a response that ends with its connection.
-const UNTIL_CLOSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
-
-/// Returns a request of each class.
-fn requests() -> [Vec<u8>; 3] {
-    [
-        request("GET", "/view/1", DEADLINE, "", ""),
-        request("POST", "/submit/1", DEADLINE, "Idempotency-Key: 1\r\n", "value"),
-        request("POST", "/order/1", DEADLINE, "", "xyz"),
-    ]
-}
-
 /// Returns a node with this endpoint whose classes have this latency objective.
 fn start_node(upstream: &ScriptedEndpoint, latency_objective: Duration) -> Node {
     Node::with_config(&[ready_endpoint("a", upstream)], |config| {
@@ -39,15 +25,15 @@
 /// Returns the head of a chunked response and its body in chunks of [`PIECE_BYTES`], without the last chunk.
 fn chunked_pieces(body: &[u8]) -> Vec<Vec<u8>> {
     let chunks = body.chunks(PIECE_BYTES).map(chunk);
-    std::iter::once(CHUNKED_HEAD.to_vec()).chain(chunks).collect()
+    std::iter::once(Framing::Chunked.head(body.len())).chain(chunks).collect()
 }
 
 /// Returns replies that send this body slowly, one for each framing that leaves its length unknown.
 fn slow_replies(body: &[u8]) -> [Reply; 2] {
     let mut chunked = chunked_pieces(body);
-    chunked.push(b"0\r\n\r\n".to_vec());
+    chunked.push(LAST_CHUNK.to_vec());
     let pieces = body.chunks(PIECE_BYTES).map(<[u8]>::to_vec);
-    let until_close = std::iter::once(UNTIL_CLOSE_HEAD.to_vec()).chain(pieces).collect();
+    let until_close = std::iter::once(Framing::UntilClose.head(body.len())).chain(pieces).collect();
     [Reply::SendInPieces(chunked, PIECE_PAUSE), Reply::SendInPiecesAndClose(until_close, PIECE_PAUSE)]
 }
 
@@ -73,7 +59,7 @@
     let latency_objective = Duration::from_millis(1);
     thread::scope(|scope| {
         for reply in slow_replies(&body) {
-            for request in requests() {
+            for request in requests_of_each_class(DEADLINE) {
                 let (body, reply) = (&body, reply.clone());
                 scope.spawn(move || {
                     let upstream = ScriptedEndpoint::new(move |_, _| reply.clone());
@@ -111,7 +97,7 @@
 #[test]
 fn a_response_that_trickles_without_end_is_cut_off_visibly() {
     let trickle = std::iter::repeat_n(chunk(b"x"), 1000);
-    let pieces: Vec<Vec<u8>> = std::iter::once(CHUNKED_HEAD.to_vec()).chain(trickle).collect();
+    let pieces: Vec<Vec<u8>> = std::iter::once(Framing::Chunked.head(0)).chain(trickle).collect();
     let upstream = ScriptedEndpoint::new(move |_, _| Reply::SendInPieces(pieces.clone(), PIECE_PAUSE));
     let node = start_node(&upstream, Duration::from_millis(1));
     let order = request("POST", "/order/1", DEADLINE, "", "xyz");
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::judge::{ClientOutcome, Judge};
-use crate::plan::{Framing, Plan};
+use crate::plan::Plan;
 use crate::support::*;
 
 /// Longest time that a client waits for the rest of a response.
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -10,14 +10,6 @@
 /// Time before the client's deadline by which a small response has to be complete to be expected in time.
 const SMALL_RESPONSE_MARGIN: Duration = Duration::from_millis(250);
 
-/// How the end of a body is marked.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Framing {
-    Length,
-    Chunked,
-    UntilClose,
-}
-
 /// The class of a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Class {
@@ -61,7 +53,7 @@
             client_wait: Duration::from_millis(random.u64(500..2500)),
             request_bytes: if class == Class::View { 0 } else { *random.choice(&request_sizes).unwrap() },
             is_request_chunked: random.bool(),
-            framing: *random.choice(&[Framing::Length, Framing::Chunked, Framing::UntilClose]).unwrap(),
+            framing: *random.choice(&FRAMINGS).unwrap(),
             response_bytes: *random.choice(&sizes).unwrap(),
             pieces: if is_slow { random.usize(2..4) } else { random.usize(1..30) },
             pause,
@@ -90,7 +82,7 @@
             self.client_wait.as_secs_f64()
         );
         let body = match self.is_request_chunked && method == "POST" {
-            true => [body.chunks(30_000).flat_map(chunk).collect(), b"0\r\n\r\n".to_vec()].concat(),
+            true => [body.chunks(30_000).flat_map(chunk).collect(), LAST_CHUNK.to_vec()].concat(),
             false => body,
         };
         [head.into_bytes(), body].concat()
@@ -101,26 +93,12 @@
         random_bytes(self.response_bytes)
     }
 
-    /// Returns the reply of the endpoint.
+    /// Returns the reply of the endpoint. The head is a piece of its own.
     pub fn reply(&self) -> Reply {
-        let head = match self.framing {
-            Framing::Length => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", self.response_bytes),
-            Framing::Chunked => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
-            Framing::UntilClose => "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n".into(),
-        };
         let body = self.response_body();
-        let mut pieces = vec![head.into_bytes()];
         let part_bytes = body.len().div_ceil(self.pieces).max(1);
-        for part in body.chunks(part_bytes) {
-            pieces.push(if self.framing == Framing::Chunked { chunk(part) } else { part.to_vec() });
-        }
-        if self.framing == Framing::Chunked {
-            pieces.last_mut().unwrap().extend_from_slice(b"0\r\n\r\n");
-        }
-        match self.framing {
-            Framing::UntilClose => Reply::SendWithPausesAndClose(pieces, self.pause),
-            Framing::Length | Framing::Chunked => Reply::SendWithPauses(pieces, self.pause),
-        }
+        let parts: Vec<&[u8]> = std::iter::once(&[][..]).chain(body.chunks(part_bytes)).collect();
+        self.framing.reply(&parts, self.pause)
     }
 
     /// Returns whether the client has to get the whole response: the response is large or may be, so that its
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -61,6 +61,15 @@
     request("POST", "/order/7f3a", "14.0", "", "xyz")
 }
 
+/// Returns a small request of each class with this deadline.
+pub fn requests_of_each_class(deadline: &str) -> [Vec<u8>; 3] {
+    [
+        request("GET", "/view/1", deadline, "", ""),
+        request("POST", "/submit/1", deadline, "Idempotency-Key: 1\r\n", "value"),
+        request("POST", "/order/1", deadline, "", "xyz"),
+    ]
+}
+
 /// Returns the head of a request, without a `Content-Length` except as part of `extra_headers`.
 pub fn request_head(method: &str, path: &str, extra_headers: &str) -> Vec<u8> {
     request_head_with_deadline(method, path, "14.0", extra_headers)
