--- a/tests/node/deadlines.rs
+++ b/tests/node/deadlines.rs
@@ -1,6 +1,6 @@
 //! Deadlines of requests.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 use std::{slice, thread};
 
@@ -236,3 +236,32 @@
         assert!(Duration::from_secs_f64(told) + Duration::from_millis(100) > DEADLINE, "told {told}");
     }
 }
+
+/// Guards against a long request that is failed before its client's time, as the node takes bytes that the
+/// client has not sent for the last ones: the endpoint reads them more slowly than they come.
+#[test]
+fn a_long_request_is_not_failed_before_its_end_was_sent() {
+    const DEADLINE: Duration = Duration::from_millis(500);
+    const PIECE_BYTES: usize = 64 << 10;
+    // 2 MB a second.
+    const PIECE_INTERVAL: Duration = Duration::from_millis(32);
+    for order in large_orders(DEADLINE, 31_000_000) {
+        let (node, listener) = start_node_with_listener();
+        let client = node.client();
+        let mut writer = client.stream.try_clone().unwrap();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let mut endpoint = accept_connection(&listener);
+                while endpoint.read(&mut [0; PIECE_BYTES]).is_ok_and(|length| length > 0) {
+                    thread::sleep(PIECE_INTERVAL);
+                }
+            });
+            let writing = scope.spawn(move || writer.write_all(&order).map(|()| Instant::now()));
+            let answered_at = client.stream.peek(&mut [0]).map(|_| Instant::now()).unwrap();
+            let sent_at = writing.join().unwrap();
+            let is_early =
+                sent_at.is_err() || sent_at.is_ok_and(|sent_at| sent_at + DEADLINE / 2 > answered_at);
+            assert!(!is_early, "the request was failed before its client's time");
+        });
+    }
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -26,6 +26,7 @@
 mod rejection;
 mod reload;
 mod request_validation;
+mod response_forms;
 mod retries;
 mod shutdown;
 mod slow_peers;
